--- a/src/bin/sedgelever-drill/main.rs
+++ b/src/bin/claywinch-drill/main.rs
@@ -11,7 +11,7 @@
     match run(io::stdin().lock(), BufWriter::new(io::stdout().lock())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("sedgelever-drill: {message}");
+            eprintln!("claywinch-drill: {message}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/sedgelever-drill/settings.rs
+++ b/src/bin/claywinch-drill/settings.rs
@@ -1,6 +1,6 @@
 //! Reads the settings of an instance's first message. Unknown keys are ignored.
 
-use sedgelever::interface::{Budget, Class, Effect, Group, Limit, Plan, Settings, Time};
+use claywinch::interface::{Budget, Class, Effect, Group, Limit, Plan, Settings, Time};
 use serde_json::Value;
 
 /// The settings, and the names that later messages use.
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -11,7 +11,7 @@
 "group":"all"}]}"#;
 
 fn run(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_sedgelever-drill"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_claywinch-drill"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! Settings and a driver that the tests of the module share.
 #![allow(dead_code)]
 
-use sedgelever::interface::*;
-use sedgelever::rules::Scheduler;
+use claywinch::interface::*;
+use claywinch::rules::Scheduler;
 
 /// Four hosts; classes safe, keyed, unsafe, ordered; plans with a limit and with a reserve.
 pub fn settings() -> Settings {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1,8 +1,8 @@
 //! Tests of the module alone: events in, actions out.
 
 mod common;
+use claywinch::interface::*;
 use common::*;
-use sedgelever::interface::*;
 
 #[test]
 fn a_shard_request_goes_to_the_node_that_holds_it() {
@@ -375,7 +375,7 @@
 
 #[test]
 fn settings_that_make_no_sense_are_an_error() {
-    use sedgelever::rules::Scheduler;
+    use claywinch::rules::Scheduler;
     assert!(Scheduler::new(Settings { hosts: 0, ..settings() }, 1, 0).is_err());
     assert!(Scheduler::new(Settings { classes: Vec::new(), ..settings() }, 1, 0).is_err());
     assert!(Scheduler::new(Settings { mean_units: f64::NAN, ..settings() }, 1, 0).is_err());
--- a/tests/rules_hold.rs
+++ b/tests/rules_hold.rs
@@ -1,10 +1,10 @@
 //! Arbitrary legal events, audited against the rules. There is no model of a node: outcomes are drawn.
 
 mod common;
+use claywinch::interface::*;
 use common::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use sedgelever::interface::*;
 use std::collections::BTreeMap;
 
 #[derive(Debug, Clone)]
@@ -283,7 +283,7 @@
                 self.drive.now = now + 2_000_000;
                 let seed = now as u64;
                 self.drive.scheduler =
-                    sedgelever::rules::Scheduler::new(self.set.clone(), seed, self.drive.now).unwrap();
+                    claywinch::rules::Scheduler::new(self.set.clone(), seed, self.drive.now).unwrap();
                 self.open.clear();
                 self.key_rest.clear();
                 self.taken.clear();
