Serve the platform's protocol: RESP2 front, planner, links, watch

The broker as a program. src/state holds the planner, which owns the scheduler and all request state, the pool of links and the one set of deadlines; src/wire the protocols as state machines fed bytes, with thin drivers beside them; src/run start and stop. The adapter and the broker share the reading of the settings (src/run/settings.rs).

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# What is done with this repository. `make test` is all that must hold before anything lands.
+# Most lines of the decision module that are not blank, and most characters of each.
+MODULE_LINES ?= 950
+MODULE_WIDTH ?= 110
+
+.PHONY: build test lint run module-length
+
+build:
+	cargo build --release --locked
+
+lint:
+	cargo fmt --check
+	cargo clippy --locked --all-targets -- -D warnings
+
+# The module must stay short enough to read at night.
+module-length:
+	@awk -v most=$(MODULE_LINES) -v width=$(MODULE_WIDTH) \
+	  'NF { n++ } length($$0) > width { print FILENAME ":" FNR ": over " width " characters"; bad = 1 } \
+	   END { print "module: " n " lines"; if (n > most) { print "over " most " lines"; bad = 1 } exit bad }' \
+	  src/rules.rs
+
+test: lint module-length build
+	cargo test --locked
+
+# Needs RELAY_CONFIG; see the README.
+run: build
+	target/release/claywinch
--- a/src/bin/claywinch-drill/main.rs
+++ b/src/bin/claywinch-drill/main.rs
@@ -1,7 +1,6 @@
 //! Puts the scheduler on the simulator's wire: framing and names only. Decides nothing.
 #![forbid(unsafe_code)]
 
-mod settings;
 mod wire;
 
 use std::io::{self, BufRead, BufWriter, Write};
--- a/src/bin/claywinch-drill/wire.rs
+++ b/src/bin/claywinch-drill/wire.rs
@@ -1,8 +1,8 @@
 //! The messages of the wire: reads events, names them as the scheduler does, writes its actions.
 
-use crate::settings::{self, micros, Start};
 use claywinch::interface::*;
 use claywinch::rules::Scheduler;
+use claywinch::run::settings::{self, micros, Start};
 use std::collections::BTreeMap;
 use std::fmt::Write;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,13 +1,16 @@
-//! Decides when and where one host sends reads and writes to shared storage nodes.
+//! A broker for shared storage nodes: it takes clients' requests, decides when and where each goes, and
+//! owes each exactly one final answer.
 //!
-//! The crate does no I/O: a caller hands [`rules::Scheduler::handle`] events with the time they
-//! happened at, and carries out the actions that come back. The types of both are in
-//! [`interface`]; every decision is in [`rules`].
+//! Every decision is in [`rules`], whose types are in [`interface`]; it does no I/O. Around it:
+//! [`wire`] is what is spoken, [`state`] what is kept in memory, [`run`] starts and stops it all.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 pub mod interface;
 pub mod rules;
+pub mod run;
+pub mod state;
+pub mod wire;
 
 /// Keeps the example of the README compiling.
 #[cfg(doctest)]
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,26 @@
+//! The broker: reads its configuration, serves until SIGTERM, answers what it has taken, and ends.
+#![forbid(unsafe_code)]
+
+use claywinch::run::{config::Config, start};
+use std::process::ExitCode;
+use tracing_subscriber::EnvFilter;
+
+fn main() -> ExitCode {
+    let filter = EnvFilter::try_from_env("CLAYWINCH_LOG").unwrap_or_else(|_| EnvFilter::new("info"));
+    tracing_subscriber::fmt().with_env_filter(filter).with_ansi(false).with_writer(std::io::stderr).init();
+    let outcome = Config::from_env(|name| std::env::var(name).ok())
+        .map_err(start::StartError::from)
+        .and_then(|config| {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            let runtime = runtime
+                .map_err(|error| start::StartError::Io { what: "starting the runtime".to_string(), error })?;
+            tokio::task::LocalSet::new().block_on(&runtime, start::run(config))
+        });
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            tracing::error!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/run/config.rs
@@ -0,0 +1,103 @@
+//! What a broker is told at its start: the environment and the file it names.
+
+use super::settings::{self, Start};
+use crate::wire::discovery::Listing;
+use serde::Deserialize;
+
+/// A configuration that cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    /// A variable is missing.
+    #[error("{0} is not set")]
+    Missing(&'static str),
+    /// A file could not be read.
+    #[error("{path}: {error}")]
+    File {
+        /// The file.
+        path: String,
+        /// What reading it said.
+        error: std::io::Error,
+    },
+    /// A file holds something else than it should.
+    #[error("{path}: {reason}")]
+    Content {
+        /// The file.
+        path: String,
+        /// What is wrong.
+        reason: String,
+    },
+}
+
+/// Limits of the deployment.
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(default)]
+pub struct Bounds {
+    /// Memory of all processes.
+    pub memory_mb: usize,
+    /// Descriptors of all processes.
+    pub sockets: usize,
+}
+
+impl Default for Bounds {
+    /// The least that the platform gives.
+    fn default() -> Self {
+        Bounds { memory_mb: 192, sockets: 1024 }
+    }
+}
+
+#[derive(Deserialize)]
+struct File {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    #[serde(default)]
+    seed: String,
+    #[serde(default)]
+    limits: Bounds,
+    known: Option<Listing>,
+    settings: serde_json::Value,
+}
+
+/// All that a broker is told.
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: String,
+    /// Where discovery is.
+    pub discovery: String,
+    /// For random numbers; new at each start.
+    pub seed: u64,
+    /// Limits of the deployment.
+    pub limits: Bounds,
+    /// The list of nodes as it was last had.
+    pub known: Option<Listing>,
+    /// Settings of the scheduler and names.
+    pub start: Start,
+}
+
+/// Reads a whole file as text.
+pub fn read_file(path: &str) -> Result<String, ConfigError> {
+    std::fs::read_to_string(path).map_err(|error| ConfigError::File { path: path.to_string(), error })
+}
+
+impl Config {
+    /// Reads the environment, whose variables come before what the file says.
+    pub fn from_env(var: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
+        let path = var("RELAY_CONFIG").ok_or(ConfigError::Missing("RELAY_CONFIG"))?;
+        let content = |reason: String| ConfigError::Content { path: path.clone(), reason };
+        let file: File = serde_json::from_str(&read_file(&path)?).map_err(|e| content(e.to_string()))?;
+        let start = settings::from_json(&file.settings).map_err(content)?;
+        Ok(Config {
+            name: var("RELAY_NAME").or(file.name).unwrap_or_default(),
+            listen: var("RELAY_LISTEN").or(file.listen).ok_or(ConfigError::Missing("RELAY_LISTEN"))?,
+            discovery: var("RELAY_DISCOVERY")
+                .or(file.discovery)
+                .ok_or(ConfigError::Missing("RELAY_DISCOVERY"))?,
+            seed: u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| u64::from(std::process::id())),
+            limits: file.limits,
+            known: file.known,
+            start,
+        })
+    }
+}
--- /dev/null
+++ b/src/run/mod.rs
@@ -0,0 +1,8 @@
+//! Start and stop: what the environment says, limits, signals, exit.
+
+pub mod clock;
+pub mod config;
+pub mod fleet;
+pub mod limits;
+pub mod settings;
+pub mod start;
--- a/src/bin/claywinch-drill/settings.rs
+++ b/src/run/settings.rs
@@ -1,6 +1,7 @@
-//! Reads the settings of an instance's first message. Unknown keys are ignored.
+//! Reads the settings that the simulator's first message and the deployment's configuration share.
+//! Unknown keys are ignored.
 
-use claywinch::interface::{Budget, Class, Effect, Group, Limit, Plan, Settings, Time};
+use crate::interface::{Budget, Class, Effect, Group, Limit, Plan, Settings, Time};
 use serde_json::Value;
 
 /// The settings, and the names that later messages use.
@@ -13,6 +14,26 @@
     pub plans: Vec<String>,
     /// Names of the zones, in order.
     pub zones: Vec<String>,
+    /// What the sockets of a real broker are bound by.
+    pub bounds: Bounds,
+}
+
+/// Bounds on connections. The scheduler knows of none; the simulator keeps them by itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bounds {
+    /// A connection that is not up by then counts as unreachable.
+    pub connect_timeout: Time,
+    /// A node closes a connection that was idle for this long.
+    pub conn_idle: Time,
+    /// Most attempts on one connection at once.
+    pub multiplex: usize,
+}
+
+impl Default for Bounds {
+    /// Cautious values for settings that name none.
+    fn default() -> Self {
+        Bounds { connect_timeout: 250_000, conn_idle: 10_000_000, multiplex: 16 }
+    }
 }
 
 /// Seconds to the scheduler's unit of time.
@@ -108,10 +129,27 @@
     })
 }
 
+fn connections(at: &At) -> Result<Bounds, String> {
+    let usual = Bounds::default();
+    let time = |key: &str, usual: Time| at.find(key).map_or(Ok(usual), |v| v.number().map(micros));
+    Ok(Bounds {
+        connect_timeout: time("connect_timeout_s", usual.connect_timeout)?,
+        conn_idle: time("conn_idle_s", usual.conn_idle)?,
+        multiplex: at
+            .find("multiplex")
+            .map_or(Ok(usual.multiplex), |v| v.count().map(|n| n.max(1) as usize))?,
+    })
+}
+
 /// Reads the settings of a `LAUNCH`.
 pub fn read(text: &str) -> Result<Start, String> {
     let root: Value = serde_json::from_str(text).map_err(|e| format!("conf is not JSON: {e}"))?;
-    let at = At(&root, "conf".to_string());
+    from_json(&root)
+}
+
+/// Reads settings that stand inside a larger document.
+pub fn from_json(root: &Value) -> Result<Start, String> {
+    let at = At(root, "conf".to_string());
     let (bounds, rules, extra) = (at.need("bounds")?, at.need("rules")?, at.need("extra")?);
     let classes = at.need("services")?.list()?;
     let plans = at.need("contracts")?.list()?;
@@ -131,6 +169,7 @@
         classes: named(&classes)?,
         plans: named(&plans)?,
         zones: names(&at.need("localities")?)?,
+        bounds: connections(&bounds)?,
         settings: Settings {
             hosts: at.need("balancers")?.count()?,
             classes: classes.iter().map(class).collect::<Result<_, _>>()?,
--- /dev/null
+++ b/src/run/start.rs
@@ -0,0 +1,171 @@
+//! Puts the broker together, serves until it is told to stop, and sees everything answered before it ends.
+
+use super::clock::Clock;
+use super::config::{Config, ConfigError};
+use super::fleet::Fleet;
+use super::limits::{Limits, Seats};
+use crate::interface::{ListKind, SettingsError};
+use crate::state::planner::{Input, Planner, Wire};
+use crate::state::pool::PoolLimits;
+use crate::wire::discovery::NodeNumbers;
+use crate::wire::resp::{Client, Names, Node, Resp};
+use crate::wire::session::{serve, Numbers, Session};
+use crate::wire::watch::WatchTask;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
+use tokio::sync::watch;
+
+/// Connections that the kernel may hold for us: what it has accepted is ours to answer.
+const BACKLOG: u32 = 1024;
+/// How long new connections are taken after the signal to stop.
+const STILL_ACCEPTING: Duration = Duration::from_millis(500);
+/// How long the last answers may take: longer than any client waits.
+const LAST_ANSWERS: Duration = Duration::from_secs(60);
+/// How long to wait when descriptors have run out.
+const OUT_OF_DESCRIPTORS: Duration = Duration::from_millis(5);
+
+/// Why a broker could not start or go on.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// Its configuration.
+    #[error(transparent)]
+    Config(#[from] ConfigError),
+    /// The scheduler's settings.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    /// A socket or a signal.
+    #[error("{what}: {error}")]
+    Io {
+        /// What was tried.
+        what: String,
+        /// What came of it.
+        error: std::io::Error,
+    },
+}
+
+fn io(what: impl Into<String>) -> impl FnOnce(std::io::Error) -> StartError {
+    let what = what.into();
+    move |error| StartError::Io { what, error }
+}
+
+/// Listens on an address.
+pub fn listen(address: &str) -> Result<TcpListener, StartError> {
+    let bind = || -> std::io::Result<TcpListener> {
+        let address: std::net::SocketAddr = address.parse().map_err(std::io::Error::other)?;
+        let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    bind().map_err(io(format!("listening on {address}")))
+}
+
+/// A front: where clients of one protocol connect.
+struct Front<W: Wire> {
+    listener: TcpListener,
+    planner: UnboundedSender<Input<W>>,
+    clock: Clock,
+    seats: Seats,
+    most: usize,
+    stopping: watch::Receiver<bool>,
+}
+
+impl<W: Wire> Front<W> {
+    /// Takes connections for good. What the kernel has accepted is owed an answer, so a full house asks a
+    /// connection that is between requests to leave, rather than let new ones wait.
+    async fn accept<S: Session<W>>(self, session: impl Fn() -> S) {
+        loop {
+            while self.seats.len() >= self.most {
+                self.seats.call_idle();
+                tokio::time::sleep(OUT_OF_DESCRIPTORS).await;
+            }
+            match self.listener.accept().await {
+                Ok((stream, _)) => {
+                    let seat = self.seats.take();
+                    let (planner, stopping) = (self.planner.clone(), self.stopping.clone());
+                    tokio::task::spawn_local(serve(stream, session(), planner, self.clock, stopping, seat));
+                }
+                Err(error) => {
+                    tracing::warn!(%error, clients = self.seats.len(), "cannot accept");
+                    self.seats.call_idle();
+                    tokio::time::sleep(OUT_OF_DESCRIPTORS).await;
+                }
+            }
+        }
+    }
+}
+
+/// Runs a broker until it has stopped. Must run inside a [`tokio::task::LocalSet`].
+pub async fn run(config: Config) -> Result<(), StartError> {
+    let clock = Clock::system();
+    let limits = Limits::share(config.limits.sockets, config.limits.memory_mb);
+    let bounds = config.start.bounds;
+    let pool = PoolLimits {
+        links: limits.links,
+        links_per_node: 40,
+        multiplex: bounds.multiplex,
+        idle: bounds.conn_idle * 3 / 5,
+    };
+    let mut term = signal(SignalKind::terminate()).map_err(io("SIGTERM"))?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(io("SIGINT"))?;
+    let (stop, stopping) = watch::channel(false);
+    let seats = Seats::default();
+
+    let planner = Planner::<Resp>::new(config.start.settings.clone(), config.seed, clock.now(), pool)?;
+    let (own, inputs) = unbounded_channel();
+    let (wish, wishes) = unbounded_channel();
+    let mut numbers = NodeNumbers::default();
+    let revision = config.known.as_ref().map_or(0, |known| known.revision);
+    // The list last had comes first of all, before any request: it also makes the planner ask for news.
+    let known = config.known.map(|known| known.into_members(&mut numbers, &config.start.zones));
+    let _ = own.send(Input::Nodes(ListKind::Saved, known.unwrap_or_default()));
+    let fleet = Fleet {
+        name: "resp",
+        planner,
+        inputs,
+        own: own.clone(),
+        watch: wish,
+        clock,
+        connect_timeout: Duration::from_micros(bounds.connect_timeout.max(1000) as u64),
+    };
+    tokio::task::spawn_local(fleet.run(Node::default));
+    let zones = config.start.zones;
+    let watcher =
+        WatchTask { address: config.discovery, revision, numbers, zones, wishes, planner: own.clone() };
+    tokio::task::spawn_local(watcher.run());
+
+    let front = Front {
+        listener: listen(&config.listen)?,
+        planner: own,
+        clock,
+        seats: seats.clone(),
+        most: limits.clients,
+        stopping: stopping.clone(),
+    };
+    let names = Rc::new(Names { classes: config.start.classes, plans: config.start.plans });
+    let ids = Numbers::default();
+    let accepting = tokio::task::spawn_local(front.accept(move || Client::new(names.clone(), ids.clone())));
+    tracing::info!(name = config.name, listen = config.listen, ?limits, "serving");
+
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    tracing::info!(clients = seats.len(), "stopping");
+    tokio::time::sleep(STILL_ACCEPTING).await;
+    accepting.abort();
+    let _ = stop.send(true);
+    let emptied = async {
+        while !seats.is_empty() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    match tokio::time::timeout(LAST_ANSWERS, emptied).await {
+        Ok(()) => tracing::info!("stopped"),
+        Err(_) => tracing::warn!(clients = seats.len(), "stopped with clients unanswered"),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/state/planner.rs
@@ -0,0 +1,393 @@
+//! The planner: owns the scheduler and all that is known of requests and attempts. It is fed what
+//! happened, hands all of a turn to the scheduler in one batch, and gives back what is to be done on
+//! sockets. It knows no wire: a request and a reply pass through it unread.
+
+use super::deadlines::{Deadlines, Lateness};
+use super::pool::{LinkId, Pick, Pool, PoolLimits};
+use crate::interface::{Action, Arrival, Ending, Event, ListKind, NodeEntry, NodeId, NodeState};
+use crate::interface::{Outcome, RequestId, Settings, SettingsError, Time};
+use crate::rules::Scheduler;
+use std::collections::BTreeMap;
+use tokio::sync::mpsc::UnboundedSender;
+
+/// What is spoken with clients and nodes. The planner only hands both types through.
+pub trait Wire: 'static {
+    /// A request as a node is to get it. Cloned for each attempt, so it should be cheap to clone.
+    type Request: Clone + 'static;
+    /// A node's reply as the client is to get it.
+    type Reply: 'static;
+}
+
+/// The final answer of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Answer<R> {
+    /// What a node replied.
+    Served(R),
+    /// Refused: trying again is harmless, best after this time (0: no advice).
+    Refused(Time),
+    /// Failed, with no promise about its effect.
+    Failed,
+}
+
+/// Where a front takes its final answers.
+pub type Back<R> = UnboundedSender<(RequestId, Answer<R>)>;
+
+/// A request that a front has taken.
+pub struct Ask<W: Wire> {
+    /// What the scheduler is told of it.
+    pub arrival: Arrival,
+    /// What a node is told.
+    pub request: W::Request,
+    /// Where the final answer goes.
+    pub back: Back<W::Reply>,
+}
+
+/// An attempt: its request and its number.
+pub type Tag = (RequestId, u32);
+
+/// How an attempt ended, as its link saw it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct End<R> {
+    /// How it ended.
+    pub ending: Ending,
+    /// The node's reply, if it was served.
+    pub reply: Option<R>,
+    /// The figures on use that came along; see [`Outcome`].
+    pub used: Option<f64>,
+    /// See [`Outcome::elsewhere`].
+    pub elsewhere: f64,
+    /// See [`Outcome::util`].
+    pub util: Option<f64>,
+}
+
+impl<R> End<R> {
+    /// An end without a reply or figures.
+    pub fn bare(ending: Ending) -> Self {
+        End { ending, reply: None, used: None, elsewhere: 0.0, util: None }
+    }
+}
+
+/// A node of a list with its address.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Member {
+    /// What the scheduler is told.
+    pub entry: NodeEntry,
+    /// Where it listens.
+    pub address: String,
+}
+
+/// What happened.
+pub enum Input<W: Wire> {
+    /// A front took a request.
+    Ask(Ask<W>),
+    /// A client is gone; nobody waits for this request any more.
+    Gone(RequestId),
+    /// An attempt on a link ended.
+    Ended(LinkId, Tag, End<W::Reply>),
+    /// The connection of a link is up.
+    LinkUp(LinkId),
+    /// A link is over; all its attempts have ended before. True if it never came up.
+    LinkDown(LinkId, bool),
+    /// News of the nodes.
+    Nodes(ListKind, Vec<Member>),
+    /// A probe ended.
+    Probed(NodeId, Ending, Option<f64>),
+}
+
+/// What is to be done, in this order.
+#[derive(Debug)]
+pub enum Effect<W: Wire> {
+    /// Open a link to a node.
+    Open(LinkId, NodeId, String),
+    /// Send an attempt on a link; it is worth nothing after the stated time.
+    Send(LinkId, Tag, Time, W::Request),
+    /// Close a link without a word.
+    Close(LinkId),
+    /// Probe a node.
+    Probe(NodeId, String),
+    /// Watch the list of nodes.
+    Subscribe,
+}
+
+/// What the deadlines of a planner stand for.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Deadline {
+    /// The scheduler wants a turn.
+    Scheduler,
+    /// An attempt is not waited for any longer.
+    Attempt(Tag),
+    /// A link may have been idle for too long.
+    Idle(LinkId),
+}
+
+/// A request that has no final answer yet.
+struct Open<W: Wire> {
+    request: W::Request,
+    back: Back<W::Reply>,
+    tries: u32,
+}
+
+/// An attempt that has no outcome yet.
+struct Attempt {
+    node: NodeId,
+    link: Option<LinkId>,
+    sent: Time,
+    until: Time,
+}
+
+/// What has happened since the last count.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Counts {
+    /// Requests taken.
+    pub taken: u64,
+    /// Requests served.
+    pub served: u64,
+    /// Requests refused.
+    pub refused: u64,
+    /// Requests failed.
+    pub failed: u64,
+    /// Requests whose client left.
+    pub gone: u64,
+    /// Attempts sent.
+    pub sent: u64,
+    /// Links opened.
+    pub opened: u64,
+    /// Attempts by ending, in the order of [`Ending`].
+    pub endings: [u64; 8],
+}
+
+/// The planner of one broker and one fleet of nodes.
+pub struct Planner<W: Wire> {
+    scheduler: Scheduler,
+    requests: BTreeMap<RequestId, Open<W>>,
+    attempts: BTreeMap<Tag, Attempt>,
+    addresses: BTreeMap<NodeId, String>,
+    pool: Pool,
+    deadlines: Deadlines<Deadline>,
+    /// Events for the scheduler: those of this turn, then those that carrying out its actions brought.
+    events: Vec<Event>,
+    actions: Vec<Action>,
+    counts: Counts,
+}
+
+impl<W: Wire> Planner<W> {
+    /// A planner that starts at `now` and knows nothing.
+    pub fn new(settings: Settings, seed: u64, now: Time, limits: PoolLimits) -> Result<Self, SettingsError> {
+        Ok(Planner {
+            scheduler: Scheduler::new(settings, seed, now)?,
+            requests: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            addresses: BTreeMap::new(),
+            pool: Pool::new(limits),
+            deadlines: Deadlines::default(),
+            events: Vec::new(),
+            actions: Vec::new(),
+            counts: Counts::default(),
+        })
+    }
+
+    /// When the next turn is due at the latest.
+    pub fn next_deadline(&self) -> Option<Time> {
+        self.deadlines.first()
+    }
+
+    /// How late deadlines were swept since the last call.
+    pub fn take_lateness(&mut self) -> Lateness {
+        self.deadlines.take_lateness()
+    }
+
+    /// What has happened since the last call.
+    pub fn take_counts(&mut self) -> Counts {
+        std::mem::take(&mut self.counts)
+    }
+
+    /// Requests without a final answer, attempts without an outcome, and links.
+    pub fn load(&self) -> (usize, usize, usize) {
+        (self.requests.len(), self.attempts.len(), self.pool.len())
+    }
+
+    /// One turn: takes all that has happened, sweeps the deadlines, lets the scheduler decide on everything
+    /// at once, and appends what is to be done.
+    pub fn turn(
+        &mut self,
+        now: Time,
+        inputs: impl IntoIterator<Item = Input<W>>,
+        effects: &mut Vec<Effect<W>>,
+    ) {
+        for input in inputs {
+            self.input(now, input, effects);
+        }
+        while let Some((_, deadline)) = self.deadlines.pop_due(now) {
+            match deadline {
+                Deadline::Scheduler => self.events.push(Event::Timer),
+                Deadline::Attempt(tag) => self.give_up_attempt(now, tag, Ending::TimedOut, effects),
+                Deadline::Idle(link) => {
+                    if self.pool.is_stale(now, link) {
+                        self.pool.remove(now, link, false);
+                        effects.push(Effect::Close(link));
+                    }
+                }
+            }
+        }
+        // Carrying out an action can bring an outcome at once, when there is no link to be had: the
+        // scheduler is told in the same turn. Each round uses up attempts, of which a request has few.
+        while !self.events.is_empty() {
+            let events = std::mem::take(&mut self.events);
+            let mut actions = std::mem::take(&mut self.actions);
+            self.scheduler.handle(now, events, &mut actions);
+            for action in actions.drain(..) {
+                self.act(now, action, effects);
+            }
+            self.actions = actions;
+        }
+    }
+
+    fn input(&mut self, now: Time, input: Input<W>, effects: &mut Vec<Effect<W>>) {
+        match input {
+            Input::Ask(ask) => {
+                let open = Open { request: ask.request, back: ask.back, tries: 0 };
+                self.requests.insert(ask.arrival.id, open);
+                self.counts.taken += 1;
+                self.events.push(Event::Request(ask.arrival));
+            }
+            Input::Gone(id) => {
+                if self.requests.remove(&id).is_some() {
+                    self.counts.gone += 1;
+                    self.events.push(Event::Gone(id));
+                }
+            }
+            Input::Ended(link, tag, end) => {
+                if let Some(at) = self.pool.answered(now, link) {
+                    self.deadlines.insert(at, Deadline::Idle(link));
+                }
+                self.ended(now, tag, end);
+            }
+            Input::LinkUp(link) => self.pool.up(link),
+            Input::LinkDown(link, refused) => {
+                self.pool.remove(now, link, refused);
+            }
+            Input::Nodes(kind, members) => {
+                let mut entries = Vec::with_capacity(members.len());
+                for member in members {
+                    if member.entry.state != NodeState::Up {
+                        for link in self.pool.idle_of(member.entry.node) {
+                            self.pool.remove(now, link, false);
+                            effects.push(Effect::Close(link));
+                        }
+                    }
+                    self.addresses.insert(member.entry.node, member.address);
+                    entries.push(member.entry);
+                }
+                self.events.push(Event::Nodes(kind, entries));
+            }
+            Input::Probed(node, ending, util) => self.events.push(Event::Probed(node, ending, util)),
+        }
+    }
+
+    /// Settles an attempt. What a link reports of one that is settled already is dropped.
+    fn ended(&mut self, now: Time, tag: Tag, end: End<W::Reply>) {
+        let Some(attempt) = self.attempts.remove(&tag) else { return };
+        self.deadlines.remove(attempt.until, Deadline::Attempt(tag));
+        self.counts.endings[end.ending as usize] += 1;
+        let (id, number) = tag;
+        // The first served attempt is the final answer.
+        if let Some(reply) = end.reply.filter(|_| end.ending == Ending::Served) {
+            if let Some(open) = self.requests.remove(&id) {
+                self.counts.served += 1;
+                // A front that is gone needs no answer.
+                let _ = open.back.send((id, Answer::Served(reply)));
+            }
+        }
+        self.events.push(Event::Outcome(Outcome {
+            id,
+            attempt: number,
+            ending: end.ending,
+            closed: !self.requests.contains_key(&id),
+            node: attempt.node,
+            waited: now - attempt.sent,
+            elsewhere: end.elsewhere,
+            used: end.used,
+            util: end.util,
+        }));
+    }
+
+    /// Stops waiting for an attempt. Its link is closed, which tells the node; but not while others share
+    /// it and nobody waits for the request any more, since they would be broken for nothing. Where the
+    /// request goes on, the link goes in any case: a further attempt beside one on an open connection would
+    /// be a second copy.
+    fn give_up_attempt(&mut self, now: Time, tag: Tag, ending: Ending, effects: &mut Vec<Effect<W>>) {
+        let Some(attempt) = self.attempts.get(&tag) else { return };
+        let link = attempt.link;
+        self.ended(now, tag, End::bare(ending));
+        let Some(link) = link else { return };
+        if self.pool.is_shared(link) && !self.requests.contains_key(&tag.0) {
+            return;
+        }
+        if self.pool.remove(now, link, false) {
+            effects.push(Effect::Close(link));
+            let others: Vec<Tag> =
+                self.attempts.iter().filter(|(_, a)| a.link == Some(link)).map(|(t, _)| *t).collect();
+            for other in others {
+                self.ended(now, other, End::bare(Ending::Reset));
+            }
+        }
+    }
+
+    fn act(&mut self, now: Time, action: Action, effects: &mut Vec<Effect<W>>) {
+        match action {
+            Action::Send { id, node, until } => self.send(now, id, node, until, effects),
+            Action::Refuse(id, after) => self.answer(id, Answer::Refused(after)),
+            Action::Fail(id) => self.answer(id, Answer::Failed),
+            Action::Cancel(id, attempt) => {
+                self.give_up_attempt(now, (id, attempt), Ending::Cancelled, effects)
+            }
+            Action::Probe(node) => match self.addresses.get(&node) {
+                Some(address) => effects.push(Effect::Probe(node, address.clone())),
+                None => self.events.push(Event::Probed(node, Ending::Unreachable, None)),
+            },
+            Action::Timer(after) => self.deadlines.insert(now + after, Deadline::Scheduler),
+            Action::Subscribe => effects.push(Effect::Subscribe),
+            Action::Log(text) => tracing::info!("{text}"),
+        }
+    }
+
+    fn send(&mut self, now: Time, id: RequestId, node: NodeId, until: Time, effects: &mut Vec<Effect<W>>) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let tag = (id, open.tries);
+        open.tries += 1;
+        self.counts.sent += 1;
+        let request = open.request.clone();
+        let mut attempt = Attempt { node, link: None, sent: now, until };
+        let pick = match self.addresses.get(&node) {
+            Some(_) => self.pool.pick(now, node),
+            None => Pick::Full,
+        };
+        let link = match pick {
+            Pick::Use(link) => link,
+            Pick::Open(link) => {
+                self.counts.opened += 1;
+                effects.push(Effect::Open(link, node, self.addresses[&node].clone()));
+                link
+            }
+            Pick::Full => {
+                self.attempts.insert(tag, attempt);
+                self.ended(now, tag, End::bare(Ending::Unreachable));
+                return;
+            }
+        };
+        attempt.link = Some(link);
+        self.attempts.insert(tag, attempt);
+        self.deadlines.insert(until, Deadline::Attempt(tag));
+        effects.push(Effect::Send(link, tag, until, request));
+    }
+
+    fn answer(&mut self, id: RequestId, answer: Answer<W::Reply>) {
+        let Some(open) = self.requests.remove(&id) else { return };
+        match answer {
+            Answer::Refused(_) => self.counts.refused += 1,
+            _ => self.counts.failed += 1,
+        }
+        // A front that is gone needs no answer.
+        let _ = open.back.send((id, answer));
+    }
+}
--- /dev/null
+++ b/src/state/pool.rs
@@ -0,0 +1,196 @@
+//! The links to nodes: which one carries an attempt, when an idle one is let go.
+
+use crate::interface::{NodeId, Time};
+use std::collections::BTreeMap;
+
+/// Number of a link, never used twice.
+pub type LinkId = u64;
+
+/// What the links are bound by.
+#[derive(Debug, Clone, Copy)]
+pub struct PoolLimits {
+    /// Links to all nodes together: each is a descriptor.
+    pub links: usize,
+    /// Links to one node, which holds only so many connections for all brokers.
+    pub links_per_node: usize,
+    /// Attempts on one link at once.
+    pub multiplex: usize,
+    /// An idle link is let go after this: well before the node closes it, since a request that crosses
+    /// the node's close ends as a reset, which may have run.
+    pub idle: Time,
+}
+
+/// A link as the pool knows it.
+#[derive(Debug)]
+struct Link {
+    node: NodeId,
+    /// Attempts whose answers are still to come on it, withdrawn ones too.
+    out: usize,
+    idle_since: Option<Time>,
+    up: bool,
+}
+
+/// Where an attempt goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Pick {
+    /// Onto a link that is there.
+    Use(LinkId),
+    /// Onto a link that is to be opened first.
+    Open(LinkId),
+    /// Nowhere: every link is full and no further one may be opened.
+    Full,
+}
+
+/// What remains of a node's connection cap once it has shown itself.
+#[derive(Debug, Clone, Copy)]
+struct Cap {
+    links: usize,
+    until: Time,
+}
+
+/// For how long a refused connect, while others are up, is taken as the node's cap on connections.
+const CAP_MEMORY: Time = 5_000_000;
+
+/// All links.
+#[derive(Debug)]
+pub struct Pool {
+    limits: PoolLimits,
+    links: BTreeMap<LinkId, Link>,
+    by_node: BTreeMap<NodeId, Vec<LinkId>>,
+    caps: BTreeMap<NodeId, Cap>,
+    next: LinkId,
+}
+
+impl Pool {
+    /// An empty pool.
+    pub fn new(limits: PoolLimits) -> Self {
+        Pool { limits, links: BTreeMap::new(), by_node: BTreeMap::new(), caps: BTreeMap::new(), next: 0 }
+    }
+
+    /// Chooses the link for one more attempt and counts the attempt on it. Answers queue behind one another
+    /// on a link, so each attempt has one of its own while there are links; the one used last is taken, so
+    /// that what a busy spell opened ages out.
+    pub fn pick(&mut self, now: Time, node: NodeId) -> Pick {
+        let ids = self.by_node.entry(node).or_default();
+        let links = &mut self.links;
+        let idle = ids.iter().copied().filter(|id| links[id].out == 0).max_by_key(|id| links[id].idle_since);
+        let cap = self.caps.get(&node).filter(|c| c.until > now).map_or(usize::MAX, |c| c.links);
+        let may_open = ids.len() < self.limits.links_per_node.min(cap) && links.len() < self.limits.links;
+        if let (None, true) = (idle, may_open) {
+            let id = self.next;
+            self.next += 1;
+            ids.push(id);
+            links.insert(id, Link { node, out: 1, idle_since: None, up: false });
+            return Pick::Open(id);
+        }
+        let least = || ids.iter().copied().min_by_key(|id| links[id].out);
+        let Some(id) = idle.or_else(least) else { return Pick::Full };
+        match links.get_mut(&id) {
+            Some(link) if link.out < self.limits.multiplex => {
+                link.out += 1;
+                link.idle_since = None;
+                Pick::Use(id)
+            }
+            _ => Pick::Full,
+        }
+    }
+
+    /// Notes that an answer came, so that one attempt fewer is on the link. When that leaves the link idle
+    /// it gives the time at which to look whether it still is.
+    pub fn answered(&mut self, now: Time, id: LinkId) -> Option<Time> {
+        let link = self.links.get_mut(&id)?;
+        link.out = link.out.saturating_sub(1);
+        if link.out > 0 {
+            return None;
+        }
+        link.idle_since = Some(now);
+        Some(now + self.limits.idle)
+    }
+
+    /// Whether other attempts than one are on a link.
+    pub fn is_shared(&self, id: LinkId) -> bool {
+        self.links.get(&id).is_some_and(|l| l.out > 1)
+    }
+
+    /// Whether a link has been idle for its whole time.
+    pub fn is_stale(&self, now: Time, id: LinkId) -> bool {
+        let since = self.links.get(&id).and_then(|l| l.idle_since);
+        since.is_some_and(|since| now - since >= self.limits.idle)
+    }
+
+    /// Notes that a link's connection is there.
+    pub fn up(&mut self, id: LinkId) {
+        if let Some(link) = self.links.get_mut(&id) {
+            link.up = true;
+        }
+    }
+
+    /// Forgets a link. One that never came up while others of its node are shows the node's cap.
+    pub fn remove(&mut self, now: Time, id: LinkId, refused: bool) -> bool {
+        let Some(link) = self.links.remove(&id) else { return false };
+        let ids = self.by_node.entry(link.node).or_default();
+        ids.retain(|i| *i != id);
+        let others = ids.iter().filter(|i| self.links.get(i).is_some_and(|l| l.up)).count();
+        if refused && !link.up && others > 0 {
+            self.caps.insert(link.node, Cap { links: others, until: now + CAP_MEMORY });
+        }
+        if ids.is_empty() {
+            self.by_node.remove(&link.node);
+        }
+        true
+    }
+
+    /// The idle links of a node that takes no more work.
+    pub fn idle_of(&self, node: NodeId) -> Vec<LinkId> {
+        let ids = self.by_node.get(&node).map_or(&[][..], Vec::as_slice);
+        ids.iter().copied().filter(|id| self.links[id].out == 0).collect()
+    }
+
+    /// How many links there are.
+    pub fn len(&self) -> usize {
+        self.links.len()
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.links.is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn pool(links: usize, multiplex: usize) -> Pool {
+        Pool::new(PoolLimits { links, links_per_node: 3, multiplex, idle: 100 })
+    }
+
+    #[test]
+    fn each_attempt_has_a_link_of_its_own_while_there_are_links() {
+        let mut pool = pool(4, 2);
+        let opened: Vec<Pick> = (0..4).map(|_| pool.pick(0, 7)).collect();
+        assert_eq!(opened[..3], [Pick::Open(0), Pick::Open(1), Pick::Open(2)]);
+        assert_eq!(opened[3], Pick::Use(0), "over the node's own cap attempts share links");
+        assert_eq!((pool.pick(0, 8), pool.pick(0, 9)), (Pick::Open(3), Pick::Full));
+    }
+
+    #[test]
+    fn the_link_used_last_is_taken_and_others_age_out() {
+        let mut pool = pool(4, 1);
+        let picks = [pool.pick(0, 7), pool.pick(0, 7)];
+        assert_eq!(picks, [Pick::Open(0), Pick::Open(1)]);
+        assert_eq!((pool.answered(10, 1), pool.answered(20, 0)), (Some(110), Some(120)));
+        assert_eq!(pool.pick(30, 7), Pick::Use(0));
+        assert!(pool.is_stale(110, 1) && !pool.is_stale(110, 0));
+    }
+
+    #[test]
+    fn a_refused_connect_beside_links_that_are_up_caps_the_node_for_a_while() {
+        let mut pool = pool(9, 4);
+        assert_eq!((pool.pick(0, 7), pool.pick(0, 7)), (Pick::Open(0), Pick::Open(1)));
+        pool.up(0);
+        assert!(pool.remove(5, 1, true) && !pool.remove(5, 1, true));
+        assert_eq!(pool.pick(6, 7), Pick::Use(0));
+        assert_eq!(pool.pick(6 + CAP_MEMORY, 7), Pick::Open(2));
+    }
+}
--- /dev/null
+++ b/src/wire/discovery.rs
@@ -0,0 +1,186 @@
+//! Discovery's protocol: HTTP/1.1 and JSON. Sans-I/O; [`super::watch`] does the reading and writing.
+
+use super::link::Broken;
+use crate::interface::{ListKind, NodeEntry, NodeId, NodeState, ShardId, Time};
+use crate::state::planner::Member;
+use bytes::BytesMut;
+use serde::Deserialize;
+use std::collections::BTreeMap;
+
+/// Most bytes of a response: thousands of nodes.
+const MOST_BODY: usize = 4 << 20;
+/// Most bytes of a response's head.
+const MOST_HEAD: usize = 16 * 1024;
+
+/// A node in discovery's form.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Entry {
+    id: String,
+    host_port: String,
+    #[serde(default)]
+    locality: String,
+    cell: ShardId,
+    phase: Phase,
+    #[serde(default)]
+    up_since_ms: Time,
+}
+
+/// A node's state in discovery's words.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum Phase {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// A list of nodes, or what has changed of it.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Listing {
+    /// Its version.
+    pub revision: u64,
+    complete: bool,
+    members: Vec<Entry>,
+}
+
+/// Numbers for nodes: discovery names them by texts, the scheduler by numbers that all brokers must share,
+/// since they hash keys to nodes by them.
+#[derive(Debug, Default)]
+pub struct NodeNumbers {
+    by_name: BTreeMap<String, NodeId>,
+    taken: BTreeMap<NodeId, String>,
+}
+
+impl NodeNumbers {
+    /// The number of a node: the hex digits of its name, or else a hash of it.
+    pub fn number(&mut self, name: &str) -> NodeId {
+        if let Some(number) = self.by_name.get(name) {
+            return *number;
+        }
+        let digits = name.rsplit('-').next().unwrap_or(name);
+        let hash = |h: u32, b: u8| (h ^ u32::from(b)).wrapping_mul(0x0100_0193);
+        let hashed = || name.bytes().fold(0x811c_9dc5, hash);
+        let exact = Some(digits).filter(|d| d.len() == 8).and_then(|d| u32::from_str_radix(d, 16).ok());
+        let mut number = exact.unwrap_or_else(hashed);
+        while self.taken.contains_key(&number) {
+            number = number.wrapping_add(1);
+        }
+        self.by_name.insert(name.to_string(), number);
+        self.taken.insert(number, name.to_string());
+        number
+    }
+
+    /// The name of a node, for the log.
+    pub fn name(&self, number: NodeId) -> Option<&str> {
+        self.taken.get(&number).map(String::as_str)
+    }
+}
+
+impl Listing {
+    /// How the list is to be read.
+    pub fn kind(&self) -> ListKind {
+        match self.complete {
+            true => ListKind::Full,
+            false => ListKind::Changes,
+        }
+    }
+
+    /// Its nodes as the planner knows them. A node of a zone that the settings lack has a zone of its own.
+    pub fn into_members(self, numbers: &mut NodeNumbers, zones: &[String]) -> Vec<Member> {
+        let member = |entry: Entry| {
+            let zone = zones.iter().position(|z| *z == entry.locality).unwrap_or(zones.len());
+            let state = match entry.phase {
+                Phase::Ready => NodeState::Up,
+                Phase::Draining => NodeState::Draining,
+                Phase::Gone => NodeState::Gone,
+            };
+            let node = numbers.number(&entry.id);
+            let started = Some(entry.up_since_ms).filter(|ms| *ms > 0).map(|ms| ms * 1000);
+            let entry_of = NodeEntry { node, zone: zone as u32, shard: entry.cell, state, started };
+            Member { entry: entry_of, address: entry.host_port }
+        };
+        self.members.into_iter().map(member).collect()
+    }
+}
+
+/// A call for what is newer than a version, waiting up to `wait` milliseconds for it.
+pub fn watch_call(host: &str, revision: u64, wait_ms: u64) -> String {
+    format!(
+        "GET /v1/servers?index={revision}&wait={wait_ms} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n"
+    )
+}
+
+/// A response.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Response {
+    /// It holds a list.
+    Listing(Listing),
+    /// The call failed with this status.
+    Status(u16),
+}
+
+/// Where a response's body ends.
+enum Body {
+    Length(usize),
+    Chunked,
+}
+
+/// Takes one whole response off the front of what was read; nothing while it is not whole. The flag tells
+/// whether the connection serves another call.
+pub fn decode(read: &mut BytesMut) -> Result<Option<(Response, bool)>, Broken> {
+    let mut headers = [httparse::EMPTY_HEADER; 64];
+    let mut head = httparse::Response::new(&mut headers);
+    let start = match head.parse(read).map_err(|_| Broken("not HTTP/1.1"))? {
+        httparse::Status::Partial if read.len() > MOST_HEAD => return Err(Broken("response head too long")),
+        httparse::Status::Partial => return Ok(None),
+        httparse::Status::Complete(start) => start,
+    };
+    let status = head.code.unwrap_or(0);
+    let find = |name: &str| head.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name)).map(|h| h.value);
+    let keep =
+        !find("connection").is_some_and(|v| v.eq_ignore_ascii_case(b"close")) && head.version == Some(1);
+    let chunked = find("transfer-encoding").is_some_and(|v| v.eq_ignore_ascii_case(b"chunked"));
+    let length =
+        find("content-length").map(|v| std::str::from_utf8(v).ok().and_then(|v| v.trim().parse().ok()));
+    let body = match length {
+        _ if chunked => Body::Chunked,
+        Some(Some(length)) if length <= MOST_BODY => Body::Length(length),
+        Some(_) => return Err(Broken("bad content-length")),
+        None => Body::Length(0),
+    };
+    let (text, end) = match body {
+        Body::Length(length) if read.len() < start + length => return Ok(None),
+        Body::Length(length) => (read[start..start + length].to_vec(), start + length),
+        Body::Chunked => match chunks(&read[start..])? {
+            None => return Ok(None),
+            Some((text, used)) => (text, start + used),
+        },
+    };
+    let _ = read.split_to(end);
+    if status != 200 {
+        return Ok(Some((Response::Status(status), keep)));
+    }
+    let listing = serde_json::from_slice(&text).map_err(|_| Broken("not a list of nodes"))?;
+    Ok(Some((Response::Listing(listing), keep)))
+}
+
+/// The text of a chunked body and how many bytes it took; nothing while it is not whole.
+fn chunks(body: &[u8]) -> Result<Option<(Vec<u8>, usize)>, Broken> {
+    let (mut text, mut at) = (Vec::new(), 0);
+    loop {
+        let size = httparse::parse_chunk_size(&body[at..]).map_err(|_| Broken("bad chunk size"))?;
+        let httparse::Status::Complete((used, size)) = size else { return Ok(None) };
+        let size = usize::try_from(size).ok().filter(|s| text.len() + s <= MOST_BODY);
+        let size = size.ok_or(Broken("response too long"))?;
+        at += used;
+        let Some(chunk) = body.get(at..at + size + 2) else { return Ok(None) };
+        if &chunk[size..] != b"\r\n" {
+            return Err(Broken("bad end of a chunk"));
+        }
+        text.extend_from_slice(&chunk[..size]);
+        at += size + 2;
+        if size == 0 {
+            return Ok(Some((text, at)));
+        }
+    }
+}
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,9 @@
+//! What is spoken. Each protocol is a state machine that is fed bytes and knows no socket; the thin
+//! drivers in [`link`], [`session`] and [`watch`] do the reading and writing.
+
+pub mod discovery;
+pub mod link;
+pub mod outbox;
+pub mod resp;
+pub mod session;
+pub mod watch;
