--- /dev/null
+++ b/src/run/catalogue.rs
@@ -0,0 +1,302 @@
+//! The file under `deploy/` that says what the NBD front serves and where it listens: exports, the nodes
+//! that hold them, the plans of their volumes, and the peers that agree on all that.
+
+use super::config::{read_file, ConfigError};
+use crate::interface::{Class, Effect, NodeEntry, NodeState, Plan, Settings, ShardId, Time};
+use crate::state::planner::Member;
+use crate::wire::discovery::NodeNumbers;
+use crate::wire::nbd::server::{Catalogue, Export, Kind};
+use serde::{Deserialize, Serialize};
+
+/// The whole file.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Deploy {
+    /// Where NBD clients connect; the front is off without it.
+    pub listen: Option<String>,
+    /// Brokers that serve the exports, this one included.
+    #[serde(default = "one")]
+    pub brokers: u32,
+    /// How the scheduler is to treat requests of each kind.
+    #[serde(default, rename = "class")]
+    pub classes: Vec<ClassFile>,
+    /// What a node that has just started bears.
+    #[serde(default)]
+    pub cold: Cold,
+    /// The instances that agree on the shared part; none or one: nothing is to be agreed on.
+    #[serde(default, rename = "peer")]
+    pub peers: Vec<Peer>,
+    /// Number of this instance among the peers.
+    #[serde(default)]
+    pub own_peer: u64,
+    /// What the peers agree on.
+    #[serde(flatten)]
+    pub shared: Shared,
+}
+
+/// The part of the file that holds for all brokers and that peers agree on.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Shared {
+    /// Plans of volumes.
+    #[serde(default, rename = "plan")]
+    pub plans: Vec<PlanFile>,
+    /// Exports.
+    #[serde(default, rename = "export")]
+    pub exports: Vec<ExportFile>,
+    /// Nodes.
+    #[serde(default, rename = "node")]
+    pub nodes: Vec<NodeFile>,
+}
+
+/// An instance that takes part in agreeing.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Peer {
+    /// Its number, from 1.
+    pub id: u64,
+    /// Where it listens for its peers.
+    pub address: String,
+}
+
+/// Whether requests of a class may run again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Repeat {
+    /// They may.
+    Safe,
+    /// They must never run twice.
+    Never,
+}
+
+/// A class of requests.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClassFile {
+    /// Its name.
+    pub name: String,
+    /// Time within which an answer earns the full worth.
+    pub wanted_ms: u32,
+    /// How long a client waits.
+    pub deadline_ms: u32,
+    /// Worth of a request of mean size.
+    pub worth: f64,
+    /// Part of it that a later answer earns.
+    #[serde(default)]
+    pub late_worth: f64,
+    /// Whether they may run again.
+    pub repeat: Repeat,
+}
+
+/// A plan.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlanFile {
+    /// Its name.
+    pub name: String,
+    /// Units a second that a volume is sized for.
+    pub rate: f64,
+    /// Units a second that are reserved.
+    pub reserve: f64,
+    /// Weight in what is left.
+    #[serde(default = "whole")]
+    pub weight: f64,
+    /// Factor on the worth.
+    #[serde(default = "whole")]
+    pub price: f64,
+}
+
+/// An export.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ExportFile {
+    /// Its name, with clients and nodes alike.
+    pub name: String,
+    /// Its size in bytes.
+    pub size: u64,
+    /// Whether it takes no writes.
+    #[serde(default)]
+    pub read_only: bool,
+    /// The shard that holds it.
+    pub shard: ShardId,
+    /// Its plan.
+    pub plan: String,
+    /// Classes of its reads, writes and flushes.
+    pub read: String,
+    /// See `read`.
+    pub write: String,
+    /// See `read`.
+    pub flush: String,
+}
+
+/// A node.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeFile {
+    /// Its name, the same at all brokers.
+    pub id: String,
+    /// Where it listens.
+    pub address: String,
+    /// The shard that it holds.
+    pub shard: ShardId,
+    /// Whether it takes work.
+    #[serde(default)]
+    pub state: StateFile,
+    /// When it last started, in Unix milliseconds; 0 for long ago.
+    #[serde(default)]
+    pub up_since_ms: Time,
+}
+
+/// Whether a node takes work.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum StateFile {
+    /// It does.
+    #[default]
+    Ready,
+    /// It finishes what it has and wants nothing new.
+    Draining,
+}
+
+/// What a node that has just started bears.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Cold {
+    /// Units within `window_ms`, from all brokers together.
+    pub units: f64,
+    /// Part of its capacity that it starts with.
+    pub from: f64,
+    /// Time within which it is warm.
+    pub warm_ms: u32,
+    /// Time over which too much work makes it fall over.
+    pub window_ms: u32,
+}
+
+impl Default for Cold {
+    /// The figures of the platform's rules on cold nodes.
+    fn default() -> Self {
+        Cold { units: 13.0, from: 0.15, warm_ms: 18_000, window_ms: 1_500 }
+    }
+}
+
+fn one() -> u32 {
+    1
+}
+
+fn whole() -> f64 {
+    1.0
+}
+
+/// Bytes that count as one unit.
+const UNIT: u32 = 64 * 1024;
+/// Most units of one request.
+const MOST_UNITS: u32 = 16;
+
+fn micros(ms: u32) -> Time {
+    Time::from(ms) * 1000
+}
+
+impl Deploy {
+    /// Reads the file; nothing if there is none.
+    pub fn load(path: &str) -> Result<Option<Self>, ConfigError> {
+        match std::path::Path::new(path).exists() {
+            true => Self::parse(path, &read_file(path)?).map(Some),
+            false => Ok(None),
+        }
+    }
+
+    /// Reads the text of the file.
+    pub fn parse(path: &str, text: &str) -> Result<Self, ConfigError> {
+        let content = |reason: String| ConfigError::Content { path: path.to_string(), reason };
+        let deploy: Deploy = toml::from_str(text).map_err(|e| content(e.to_string()))?;
+        deploy.shared.catalogue(&deploy).map_err(content)?;
+        Ok(deploy)
+    }
+
+    /// Settings for the scheduler of the NBD fleet.
+    pub fn settings(&self) -> Settings {
+        let class = |c: &ClassFile| Class {
+            aim: micros(c.wanted_ms),
+            worth: c.worth,
+            late_worth: c.late_worth,
+            effect: if c.repeat == Repeat::Safe { Effect::Safe } else { Effect::Unsafe },
+            window: 0,
+            ordered: false,
+        };
+        let plan = |p: &PlanFile| Plan {
+            rate: p.rate,
+            reserve: p.reserve,
+            weight: p.weight,
+            price: p.price,
+            limit: None,
+        };
+        Settings {
+            hosts: self.brokers,
+            classes: self.classes.iter().map(class).collect(),
+            plans: self.shared.plans.iter().map(plan).collect(),
+            mean_units: 2.0,
+            most_units: f64::from(MOST_UNITS),
+            share_worth: 0.4,
+            spare_worth: 0.05,
+            meter_period: 0,
+            tells_elsewhere: false,
+            list_on_request: false,
+            max_attempts: 4,
+            second_copies: false,
+            cancel: true,
+            probes: false,
+            max_retry_after: 2_000_000,
+            cold_units: self.cold.units,
+            cold_from: self.cold.from,
+            cold_time: micros(self.cold.warm_ms),
+            fall_time: micros(self.cold.window_ms),
+            key_rest: 0,
+            budget: None,
+        }
+    }
+}
+
+impl Shared {
+    /// The exports as sessions know them, for a broker with the classes of `deploy`.
+    pub fn catalogue(&self, deploy: &Deploy) -> Result<Catalogue, String> {
+        let kind = |export: &ExportFile, name: &str| {
+            let place = deploy.classes.iter().position(|c| c.name == name);
+            let class = place.ok_or_else(|| format!("export {}: no class {name}", export.name))?;
+            Ok::<_, String>(Kind { class, deadline: micros(deploy.classes[class].deadline_ms) })
+        };
+        let export = |e: &ExportFile| {
+            let plan = deploy.shared.plans.iter().position(|p| p.name == e.plan);
+            Ok(Some(Export {
+                name: e.name.clone(),
+                size: e.size,
+                read_only: e.read_only,
+                shard: e.shard,
+                plan: plan.ok_or_else(|| format!("export {}: no plan {}", e.name, e.plan))?,
+                hosts: deploy.brokers,
+                kinds: [kind(e, &e.read)?, kind(e, &e.write)?, kind(e, &e.flush)?],
+                unit: UNIT,
+                most_units: MOST_UNITS,
+            }))
+        };
+        for (i, e) in self.exports.iter().enumerate() {
+            if e.size == 0 || self.exports[..i].iter().any(|other| other.name == e.name) {
+                return Err(format!("export {}: its size is 0 or its name stands twice", e.name));
+            }
+        }
+        self.exports.iter().map(export).collect::<Result<_, String>>().map(Catalogue)
+    }
+
+    /// The nodes as the planner knows them.
+    pub fn members(&self, numbers: &mut NodeNumbers) -> Vec<Member> {
+        let member = |n: &NodeFile| {
+            let entry = NodeEntry {
+                node: numbers.number(&n.id),
+                zone: 0,
+                shard: n.shard,
+                state: if n.state == StateFile::Ready { NodeState::Up } else { NodeState::Draining },
+                started: Some(n.up_since_ms).filter(|ms| *ms > 0).map(|ms| ms * 1000),
+            };
+            Member { entry, address: n.address.clone() }
+        };
+        self.nodes.iter().map(member).collect()
+    }
+}
--- a/src/run/config.rs
+++ b/src/run/config.rs
@@ -4,6 +4,9 @@
 use crate::wire::discovery::Listing;
 use serde::Deserialize;
 
+/// Where the NBD front's file is, from the root of the repository.
+const NBD_FILE: &str = "deploy/nbd.toml";
+
 /// A configuration that cannot be used.
 #[derive(Debug, thiserror::Error)]
 pub enum ConfigError {
@@ -74,6 +77,8 @@
     pub known: Option<Listing>,
     /// Settings of the scheduler and names.
     pub start: Start,
+    /// The file that says what the NBD front serves.
+    pub nbd_file: String,
 }
 
 /// Reads a whole file as text.
@@ -98,6 +103,7 @@
             limits: file.limits,
             known: file.known,
             start,
+            nbd_file: var("CLAYWINCH_NBD").unwrap_or_else(|| NBD_FILE.to_string()),
         })
     }
 }
--- a/src/run/limits.rs
+++ b/src/run/limits.rs
@@ -11,7 +11,10 @@
 /// Memory that a client connection may take: its read buffer, its unread answers, its requests.
 const CLIENT_KB: usize = 96;
 
-/// How many connections of each kind may be open.
+/// Memory that an NBD client may take: its requests, which hold up to 1 MiB each, and their replies.
+const NBD_CLIENT_KB: usize = 6 * 1024;
+
+/// How many connections of a front and its fleet may be open.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
     /// Client connections.
@@ -21,11 +24,18 @@
 }
 
 impl Limits {
-    /// Shares out descriptors: three fifths to clients, the rest to links. Half the memory is the clients'.
-    pub fn share(descriptors: usize, memory_mb: usize) -> Self {
-        let free = descriptors.saturating_sub(RESERVED).max(10);
-        let clients = (free * 3 / 5).min(memory_mb * 1024 / 2 / CLIENT_KB).max(4);
-        Limits { clients, links: free - (free * 3 / 5) }
+    /// Shares out descriptors and memory: three fifths of the descriptors to clients, the rest to links, and
+    /// half the memory to what clients hold. With the NBD front on, it has a quarter of it all, the second
+    /// of the pair.
+    pub fn share(descriptors: usize, memory_mb: usize, nbd: bool) -> (Self, Self) {
+        let free = descriptors.saturating_sub(RESERVED).max(16);
+        let kb = memory_mb * 1024 / 2;
+        let part = |free: usize, kb: usize, client_kb: usize| {
+            let clients = free * 3 / 5;
+            Limits { clients: clients.min(kb / client_kb).max(4), links: free - clients }
+        };
+        let (nbd_free, nbd_kb) = if nbd { (free / 4, kb / 2) } else { (0, 0) };
+        (part(free - nbd_free, kb - nbd_kb, CLIENT_KB), part(nbd_free, nbd_kb, NBD_CLIENT_KB))
     }
 }
 
@@ -119,10 +129,14 @@
 
     #[test]
     fn connections_stay_within_descriptors_and_memory() {
-        let limits = Limits::share(1024, 192);
-        assert!(limits.clients + limits.links + RESERVED <= 1024, "{limits:?}");
-        assert!(limits.clients * CLIENT_KB <= 192 * 1024 / 2, "{limits:?}");
-        assert!(Limits::share(30, 8).clients >= 4);
+        for nbd in [false, true] {
+            let (resp, disk) = Limits::share(1024, 192, nbd);
+            let fds = resp.clients + resp.links + if nbd { disk.clients + disk.links } else { 0 };
+            assert!(fds + RESERVED <= 1024, "{resp:?} {disk:?}");
+            let kb = resp.clients * CLIENT_KB + if nbd { disk.clients * NBD_CLIENT_KB } else { 0 };
+            assert!(kb <= 192 * 1024 / 2, "{resp:?} {disk:?}");
+        }
+        assert!(Limits::share(30, 8, false).0.clients >= 4);
     }
 
     #[test]
--- a/src/run/mod.rs
+++ b/src/run/mod.rs
@@ -1,8 +1,10 @@
 //! Start and stop: what the environment says, limits, signals, exit.
 
+pub mod catalogue;
 pub mod clock;
 pub mod config;
 pub mod fleet;
 pub mod limits;
+pub mod nbd;
 pub mod settings;
 pub mod start;
--- /dev/null
+++ b/src/run/nbd.rs
@@ -0,0 +1,125 @@
+//! Starts the NBD front with a planner and a fleet of its own, and applies what its configuration becomes.
+
+use super::catalogue::{Deploy, Shared};
+use super::clock::Clock;
+use super::fleet::Fleet;
+use super::limits::{Limits, Seats};
+use super::settings::Bounds;
+use super::start::{listen, Front, StartError};
+use crate::interface::ListKind;
+use crate::state::planner::{Input, Planner};
+use crate::state::pool::PoolLimits;
+use crate::wire::discovery::NodeNumbers;
+use crate::wire::nbd::client::Node;
+use crate::wire::nbd::server::{Client, Exports};
+use crate::wire::nbd::Nbd;
+use crate::wire::session::Numbers;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+/// What the front shares with the rest of the broker.
+pub struct Place {
+    /// The time.
+    pub clock: Clock,
+    /// For random numbers.
+    pub seed: u64,
+    /// Its connections.
+    pub limits: Limits,
+    /// Turns true when clients are to be sent away between requests.
+    pub stopping: watch::Receiver<bool>,
+}
+
+/// The front as it runs.
+pub struct Running {
+    /// Its clients.
+    pub seats: Seats,
+    /// The task that takes new ones.
+    pub accepting: JoinHandle<()>,
+}
+
+/// What is in force, and where news of it go.
+struct Applied {
+    deploy: Deploy,
+    exports: Exports,
+    numbers: NodeNumbers,
+    planner: UnboundedSender<Input<Nbd>>,
+}
+
+impl Applied {
+    /// Puts a configuration into force: sessions see its exports from their next request on, the planner is
+    /// told of its nodes in one list.
+    fn apply(&mut self, shared: &Shared) {
+        let catalogue = match shared.catalogue(&self.deploy) {
+            Ok(catalogue) => catalogue,
+            Err(reason) => return tracing::error!(reason, "configuration not taken"),
+        };
+        let renewed = self.exports.borrow().renewed(catalogue);
+        *self.exports.borrow_mut() = Rc::new(renewed);
+        let members = shared.members(&mut self.numbers);
+        tracing::info!(exports = shared.exports.len(), nodes = members.len(), "configuration in force");
+        let _ = self.planner.send(Input::Nodes(ListKind::Full, members));
+    }
+}
+
+/// Starts the front. Must run inside a [`tokio::task::LocalSet`].
+pub fn start(deploy: Deploy, path: String, place: Place, bounds: Bounds) -> Result<Running, StartError> {
+    let address = deploy.listen.clone().unwrap_or_default();
+    let pool = PoolLimits {
+        links: place.limits.links,
+        links_per_node: 16,
+        multiplex: bounds.multiplex,
+        idle: bounds.conn_idle * 3 / 5,
+    };
+    let planner = Planner::<Nbd>::new(deploy.settings(), place.seed, place.clock.now(), pool)?;
+    let (own, inputs) = unbounded_channel();
+    let (wish, _) = unbounded_channel();
+    let exports = Exports::default();
+    let mut applied = Applied {
+        exports: exports.clone(),
+        numbers: NodeNumbers::default(),
+        planner: own.clone(),
+        deploy: deploy.clone(),
+    };
+    applied.apply(&deploy.shared);
+    let fleet = Fleet {
+        name: "nbd",
+        planner,
+        inputs,
+        own: own.clone(),
+        watch: wish,
+        clock: place.clock,
+        connect_timeout: Duration::from_micros(bounds.connect_timeout.max(1000) as u64),
+    };
+    let names = exports.clone();
+    tokio::task::spawn_local(
+        fleet.run(move |lane| Node::new(names.borrow().name(lane).unwrap_or_default().into())),
+    );
+    let seats = Seats::default();
+    let front = Front {
+        listener: listen(&address)?,
+        planner: own,
+        clock: place.clock,
+        seats: seats.clone(),
+        most: place.limits.clients,
+        stopping: place.stopping,
+    };
+    let ids = Numbers::default();
+    let accepting = tokio::task::spawn_local(front.accept(move || Client::new(exports.clone(), ids.clone())));
+    let mut hangup =
+        signal(SignalKind::hangup()).map_err(|error| StartError::Io { what: "SIGHUP".to_string(), error })?;
+    tokio::task::spawn_local(async move {
+        while hangup.recv().await.is_some() {
+            match Deploy::load(&path) {
+                Ok(Some(new)) => applied.apply(&new.shared),
+                Ok(None) => tracing::error!(path, "configuration is gone; the last one stays"),
+                Err(error) => tracing::error!(%error, "configuration not taken"),
+            }
+        }
+    });
+    tracing::info!(listen = address, "NBD front on");
+    Ok(Running { seats, accepting })
+}
--- a/src/run/start.rs
+++ b/src/run/start.rs
@@ -1,9 +1,11 @@
 //! Puts the broker together, serves until it is told to stop, and sees everything answered before it ends.
 
+use super::catalogue::Deploy;
 use super::clock::Clock;
 use super::config::{Config, ConfigError};
 use super::fleet::Fleet;
 use super::limits::{Limits, Seats};
+use super::nbd;
 use crate::interface::{ListKind, SettingsError};
 use crate::state::planner::{Input, Planner, Wire};
 use crate::state::pool::PoolLimits;
@@ -64,19 +66,19 @@
 }
 
 /// A front: where clients of one protocol connect.
-struct Front<W: Wire> {
-    listener: TcpListener,
-    planner: UnboundedSender<Input<W>>,
-    clock: Clock,
-    seats: Seats,
-    most: usize,
-    stopping: watch::Receiver<bool>,
+pub(super) struct Front<W: Wire> {
+    pub listener: TcpListener,
+    pub planner: UnboundedSender<Input<W>>,
+    pub clock: Clock,
+    pub seats: Seats,
+    pub most: usize,
+    pub stopping: watch::Receiver<bool>,
 }
 
 impl<W: Wire> Front<W> {
     /// Takes connections for good. What the kernel has accepted is owed an answer, so a full house asks a
     /// connection that is between requests to leave, rather than let new ones wait.
-    async fn accept<S: Session<W>>(self, session: impl Fn() -> S) {
+    pub async fn accept<S: Session<W>>(self, session: impl Fn() -> S) {
         loop {
             while self.seats.len() >= self.most {
                 self.seats.call_idle();
@@ -101,7 +103,9 @@
 /// Runs a broker until it has stopped. Must run inside a [`tokio::task::LocalSet`].
 pub async fn run(config: Config) -> Result<(), StartError> {
     let clock = Clock::system();
-    let limits = Limits::share(config.limits.sockets, config.limits.memory_mb);
+    let deploy = Deploy::load(&config.nbd_file)?;
+    let nbd_on = deploy.as_ref().is_some_and(|d| d.listen.is_some());
+    let (limits, nbd_limits) = Limits::share(config.limits.sockets, config.limits.memory_mb, nbd_on);
     let bounds = config.start.bounds;
     let pool = PoolLimits {
         links: limits.links,
@@ -148,6 +152,13 @@
     let names = Rc::new(Names { classes: config.start.classes, plans: config.start.plans });
     let ids = Numbers::default();
     let accepting = tokio::task::spawn_local(front.accept(move || Client::new(names.clone(), ids.clone())));
+    let nbd = match deploy.filter(|_| nbd_on) {
+        None => None,
+        Some(deploy) => {
+            let place = nbd::Place { clock, seed: config.seed, limits: nbd_limits, stopping };
+            Some(nbd::start(deploy, config.nbd_file, place, bounds)?)
+        }
+    };
     tracing::info!(name = config.name, listen = config.listen, ?limits, "serving");
 
     tokio::select! {
@@ -157,9 +168,13 @@
     tracing::info!(clients = seats.len(), "stopping");
     tokio::time::sleep(STILL_ACCEPTING).await;
     accepting.abort();
+    if let Some(nbd) = &nbd {
+        nbd.accepting.abort();
+    }
     let _ = stop.send(true);
+    let empty = || seats.is_empty() && nbd.as_ref().is_none_or(|n| n.seats.is_empty());
     let emptied = async {
-        while !seats.is_empty() {
+        while !empty() {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
     };
--- a/src/wire/nbd/server.rs
+++ b/src/wire/nbd/server.rs
@@ -12,6 +12,8 @@
 
 /// Requests of one client that may be out at once.
 const MOST_OWED: usize = 64;
+/// Bytes that all of them together may read or write.
+const MOST_OWED_BYTES: u64 = 4 << 20;
 /// A page of zeroes: holes are written from it over and over.
 static ZEROES: [u8; 4096] = [0; 4096];
 
@@ -52,6 +54,29 @@
 pub struct Catalogue(pub Vec<Option<Export>>);
 
 impl Catalogue {
+    /// This catalogue with the exports of `new` in their places: a session or a link that knows a place
+    /// must not come upon another export there.
+    pub fn renewed(&self, new: Catalogue) -> Catalogue {
+        let mut places = vec![None; self.0.len()];
+        let mut names: Vec<Option<String>> =
+            self.0.iter().map(|e| e.as_ref().map(|e| e.name.clone())).collect();
+        for export in new.0.into_iter().flatten() {
+            match names.iter().position(|n| n.as_deref() == Some(export.name.as_str())) {
+                Some(place) => places[place] = Some(export),
+                None => {
+                    names.push(Some(export.name.clone()));
+                    places.push(Some(export));
+                }
+            }
+        }
+        Catalogue(places)
+    }
+
+    /// The name of the export at a place.
+    pub fn name(&self, place: u32) -> Option<&str> {
+        self.get(place).map(|e| e.name.as_str())
+    }
+
     fn find(&self, name: &[u8]) -> Option<u32> {
         let is = |e: &Option<Export>| e.as_ref().is_some_and(|e| e.name.as_bytes() == name);
         self.0.iter().position(is).map(|place| place as u32)
@@ -82,8 +107,9 @@
     structured: bool,
     /// Bytes still to be thrown away: data of an option or a write that is not taken.
     skip: u64,
-    /// The cookies of requests that have no reply yet.
-    owed: BTreeMap<RequestId, u64>,
+    /// The cookies and lengths of requests that have no reply yet.
+    owed: BTreeMap<RequestId, (u64, u32)>,
+    owed_bytes: u64,
     outbox: Outbox,
 }
 
@@ -104,6 +130,7 @@
             structured: false,
             skip: 0,
             owed: BTreeMap::new(),
+            owed_bytes: 0,
             outbox,
         }
     }
@@ -268,7 +295,8 @@
             _ => (Operation::Flush, export.kinds[2]),
         };
         let id = self.numbers.next();
-        self.owed.insert(id, ask.cookie);
+        self.owed.insert(id, (ask.cookie, ask.length));
+        self.owed_bytes += u64::from(ask.length);
         let units = ask.length.div_ceil(export.unit.max(1)).clamp(1, export.most_units.max(1));
         let arrival = Arrival {
             id,
@@ -399,7 +427,8 @@
 
 impl Session<Nbd> for Client {
     fn receive(&mut self, now: Time, read: &mut BytesMut, asks: &mut Vec<(Arrival, Request)>) {
-        loop {
+        // Over the limit the rest waits in the buffer; `answer` makes room and the driver asks again.
+        while !self.full() {
             match self.step(now, read, asks) {
                 Ok(true) => {}
                 Ok(false) => return,
@@ -413,7 +442,8 @@
     }
 
     fn answer(&mut self, id: RequestId, answer: Answer<Vec<Part>>) {
-        let Some(cookie) = self.owed.remove(&id) else { return };
+        let Some((cookie, length)) = self.owed.remove(&id) else { return };
+        self.owed_bytes -= u64::from(length);
         match answer {
             Answer::Served(parts) => {
                 self.served(cookie, parts);
@@ -434,13 +464,18 @@
     }
 
     fn full(&self) -> bool {
-        self.owed.len() >= MOST_OWED
+        self.owed.len() >= MOST_OWED || self.owed_bytes >= MOST_OWED_BYTES
     }
 
     fn ending(&self) -> bool {
         matches!(self.phase, Phase::Over)
     }
 
+    /// A block device does not survive its connection, so only clients that still shake hands give way.
+    fn gives_way(&self) -> bool {
+        !matches!(self.phase, Phase::Transmission(_))
+    }
+
     fn stop(&mut self) {
         if matches!(self.phase, Phase::Options) {
             self.reply(option::GO, reply::SHUTDOWN, b"shutting down");
--- a/src/wire/session.rs
+++ b/src/wire/session.rs
@@ -6,7 +6,7 @@
 use crate::interface::{Arrival, RequestId};
 use crate::run::clock::Clock;
 use crate::run::limits::Seat;
-use crate::state::planner::{Answer, Ask, Input, Wire};
+use crate::state::planner::{Answer, Ask, Back, Input, Wire};
 use bytes::BytesMut;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -47,6 +47,10 @@
     fn full(&self) -> bool;
     /// Whether nothing more will be taken, by the client's wish or because it broke the protocol.
     fn ending(&self) -> bool;
+    /// Whether the connection may be closed between requests to make room for others.
+    fn gives_way(&self) -> bool {
+        true
+    }
     /// The broker stops: says so, where the protocol has words for it.
     fn stop(&mut self) {}
 }
@@ -67,7 +71,7 @@
     let _ = stream.set_nodelay(true);
     loop {
         let idle = session.owed().is_empty() && session.outbox().is_empty();
-        seat.set_idle(idle);
+        seat.set_idle(idle && session.gives_way());
         let leave = session.ending() || *stopping.borrow() || seat.is_called();
         if idle && leave {
             close(stream).await;
@@ -82,6 +86,11 @@
                 while let Ok((id, answer)) = answers.try_recv() {
                     session.answer(id, answer);
                 }
+                // What was read but held back because too much was owed.
+                if !read.is_empty() && !session.full() {
+                    session.receive(clock.now(), &mut read, &mut asks);
+                    hand_over(&planner, &back, &mut asks);
+                }
             }
             ready = stream.writable(), if waiting => {
                 let outbox = session.outbox();
@@ -100,9 +109,7 @@
                     Err(_) => break,
                 }
                 session.receive(clock.now(), &mut read, &mut asks);
-                for (arrival, request) in asks.drain(..) {
-                    let _ = planner.send(Input::Ask(Ask { arrival, request, back: back.clone() }));
-                }
+                hand_over(&planner, &back, &mut asks);
             }
             _ = stopping.changed(), if !*stopping.borrow() => session.stop(),
             () = seat.called(), if idle => {}
@@ -114,6 +121,16 @@
     }
 }
 
+fn hand_over<W: Wire>(
+    planner: &UnboundedSender<Input<W>>,
+    back: &Back<W::Reply>,
+    asks: &mut Vec<(Arrival, W::Request)>,
+) {
+    for (arrival, request) in asks.drain(..) {
+        let _ = planner.send(Input::Ask(Ask { arrival, request, back: back.clone() }));
+    }
+}
+
 /// Ends a connection so that what was written arrives: closing a socket with unread bytes would reset it.
 async fn close(mut stream: TcpStream) {
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,9 @@
 //! Settings and a driver that the tests of the module share.
 #![allow(dead_code)]
 
+pub mod net;
+pub mod parse;
+
 use claywinch::interface::*;
 use claywinch::rules::Scheduler;
 
--- /dev/null
+++ b/tests/common/net.rs
@@ -0,0 +1,324 @@
+//! Stand-ins that the tests over sockets share: a broker process, discovery, nodes of both protocols.
+
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// An address that nothing listens on.
+pub fn free_address() -> String {
+    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port").to_string()
+}
+
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis() as u64
+}
+
+pub fn connect(address: &str) -> TcpStream {
+    let stream = TcpStream::connect(address).expect("connects");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    stream.set_nodelay(true).expect("no delay");
+    stream
+}
+
+/// Waits until something holds.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    for _ in 0..PATIENCE.as_millis() / 10 {
+        if holds() {
+            return;
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    panic!("never came about: {what}");
+}
+
+/// A broker of its own folder; killed when dropped.
+pub struct Broker {
+    pub child: Child,
+    pub listen: String,
+    pub nbd: String,
+    pub folder: std::path::PathBuf,
+}
+
+impl Broker {
+    /// Starts one with these settings; `nbd` is the text of its NBD file, without `listen`.
+    pub fn start(name: &str, settings: &str, discovery: &str, nbd: Option<&str>) -> Self {
+        let folder = std::env::temp_dir().join(format!("claywinch-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let (listen, nbd_listen) = (free_address(), free_address());
+        let config = format!(
+            r#"{{"name":"{name}","seed":"07","limits":{{"memory_mb":192,"sockets":256}},
+                "known":{{"revision":0,"complete":true,"members":[]}},"settings":{settings}}}"#
+        );
+        std::fs::write(folder.join("config.json"), config).expect("a configuration");
+        let nbd_file = folder.join("nbd.toml");
+        if let Some(text) = nbd {
+            std::fs::write(&nbd_file, format!("listen = \"{nbd_listen}\"\n{text}")).expect("a file");
+        }
+        let child = Command::new(env!("CARGO_BIN_EXE_claywinch"))
+            .env("RELAY_CONFIG", folder.join("config.json"))
+            .env("RELAY_LISTEN", &listen)
+            .env("RELAY_DISCOVERY", discovery)
+            .env("CLAYWINCH_NBD", &nbd_file)
+            .stderr(Stdio::from(std::fs::File::create(folder.join("log")).expect("a log")))
+            .spawn()
+            .expect("the broker starts");
+        let broker = Broker { child, listen, nbd: nbd_listen, folder };
+        until("the broker listens", || TcpStream::connect(&broker.listen).is_ok());
+        broker
+    }
+
+    /// Puts another NBD file in place and has it read.
+    pub fn reload(&self, nbd: &str) {
+        let text = format!("listen = \"{}\"\n{nbd}", self.nbd);
+        std::fs::write(self.folder.join("nbd.toml"), text).expect("a file");
+        self.signal("-HUP");
+    }
+
+    pub fn signal(&self, name: &str) {
+        let status = Command::new("kill").args([name, &self.child.id().to_string()]).status();
+        assert!(status.expect("kill runs").success());
+    }
+
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.folder.join("log")).unwrap_or_default()
+    }
+}
+
+impl Drop for Broker {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        if thread::panicking() {
+            eprintln!("{}", self.log());
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Discovery: a version and the members as JSON; watches wait for the next version.
+#[derive(Clone, Default)]
+pub struct Discovery(Arc<(Mutex<(u64, String)>, Condvar)>);
+
+impl Discovery {
+    pub fn start(members: &str) -> (Self, String) {
+        let discovery = Discovery::default();
+        discovery.set(members);
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address").to_string();
+        let shared = discovery.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let shared = shared.clone();
+                thread::spawn(move || shared.serve(stream));
+            }
+        });
+        (discovery, address)
+    }
+
+    pub fn set(&self, members: &str) {
+        let (state, news) = &*self.0;
+        let mut state = state.lock().expect("the list");
+        *state = (state.0 + 1, members.to_string());
+        news.notify_all();
+    }
+
+    fn serve(&self, mut stream: TcpStream) {
+        let mut read = Vec::new();
+        let mut buffer = [0; 1024];
+        while let Ok(n) = stream.read(&mut buffer) {
+            if n == 0 {
+                return;
+            }
+            read.extend_from_slice(&buffer[..n]);
+            if !read.ends_with(b"\r\n\r\n") {
+                continue;
+            }
+            let call = String::from_utf8_lossy(&read).to_string();
+            let index: u64 =
+                call.split("index=").nth(1).and_then(|t| t.split('&').next()?.parse().ok()).unwrap_or(0);
+            read.clear();
+            let (state, news) = &*self.0;
+            let mut now = state.lock().expect("the list");
+            while now.0 <= index {
+                now = news.wait(now).expect("the list");
+            }
+            let body = format!(r#"{{"revision":{},"complete":true,"members":[{}]}}"#, now.0, now.1);
+            drop(now);
+            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            if stream.write_all(answer.as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// What a node does with the next request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Manner {
+    Serve,
+    TurnAway,
+    /// It reads the request and closes.
+    Break,
+    /// It begins its reply, if the protocol can, and closes.
+    CutShort,
+}
+
+/// What a node has seen, and what it is to do.
+#[derive(Default)]
+pub struct Script {
+    pub next: Vec<Manner>,
+    pub seen: usize,
+    pub connections: usize,
+    pub open: usize,
+    pub written: BTreeMap<u64, Vec<u8>>,
+}
+
+pub type Shared = Arc<Mutex<Script>>;
+
+fn manner(script: &Shared) -> Manner {
+    let mut script = script.lock().expect("the script");
+    script.seen += 1;
+    match script.next.is_empty() {
+        true => Manner::Serve,
+        false => script.next.remove(0),
+    }
+}
+
+/// Starts a node that treats each connection with `serve`.
+fn node(serve: fn(&mut TcpStream, &Shared) -> std::io::Result<()>) -> (Shared, String) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let script = Shared::default();
+    let shared = script.clone();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let shared = shared.clone();
+            thread::spawn(move || {
+                {
+                    let mut script = shared.lock().expect("the script");
+                    (script.connections, script.open) = (script.connections + 1, script.open + 1);
+                }
+                let _ = serve(&mut stream, &shared);
+                shared.lock().expect("the script").open -= 1;
+            });
+        }
+    });
+    (script, address)
+}
+
+pub fn exact(stream: &mut impl Read, n: usize) -> std::io::Result<Vec<u8>> {
+    let mut bytes = vec![0; n];
+    stream.read_exact(&mut bytes)?;
+    Ok(bytes)
+}
+
+pub fn line(stream: &mut impl Read) -> std::io::Result<String> {
+    let mut text = Vec::new();
+    while !text.ends_with(b"\r\n") {
+        text.extend(exact(stream, 1)?);
+    }
+    text.truncate(text.len() - 2);
+    Ok(String::from_utf8_lossy(&text).to_string())
+}
+
+pub fn bulk(stream: &mut impl Read) -> std::io::Result<Vec<u8>> {
+    let length: usize = line(stream)?[1..].parse().map_err(std::io::Error::other)?;
+    let mut text = exact(stream, length + 2)?;
+    text.truncate(length);
+    Ok(text)
+}
+
+/// A RESP2 node: serves `value`.
+pub fn resp_node() -> (Shared, String) {
+    node(|stream, script| loop {
+        let words: usize = line(stream)?[1..].parse().map_err(std::io::Error::other)?;
+        for _ in 0..words {
+            bulk(stream)?;
+        }
+        match manner(script) {
+            Manner::Serve => stream.write_all(b"*3\r\n$5\r\nvalue\r\n$14\r\nused=37,cost=4\r\n$-1\r\n")?,
+            Manner::TurnAway => stream.write_all(b"-BUSY\r\n")?,
+            Manner::Break => return Ok(()),
+            Manner::CutShort => return stream.write_all(b"*3\r\n$5\r\nval"),
+        }
+    })
+}
+
+pub fn be<const N: usize>(bytes: &[u8], at: usize) -> u64 {
+    bytes[at..at + N].iter().fold(0, |n, b| n << 8 | u64::from(*b))
+}
+
+/// An NBD node with structured replies: reads come as a chunk of data and one of zeroes.
+pub fn nbd_node() -> (Shared, String) {
+    node(|stream, script| {
+        stream.write_all(b"NBDMAGICIHAVEOPT\x00\x03")?;
+        exact(stream, 4)?;
+        loop {
+            let head = exact(stream, 16)?;
+            let data = exact(stream, be::<4>(&head, 12) as usize)?;
+            let reply = |kind: u32, data: &[u8]| {
+                let mut out = 0x0003_e889_0455_65a9_u64.to_be_bytes().to_vec();
+                out.extend_from_slice(&head[8..12]);
+                out.extend(kind.to_be_bytes());
+                out.extend((data.len() as u32).to_be_bytes());
+                out.extend_from_slice(data);
+                out
+            };
+            match be::<4>(&head, 8) {
+                8 => stream.write_all(&reply(1, b""))?,
+                7 if data[4..].starts_with(b"disk") => {
+                    let mut info = vec![0, 0];
+                    info.extend((1_u64 << 30).to_be_bytes());
+                    info.extend((1_u16 | 4 | 8 | 256).to_be_bytes());
+                    stream.write_all(&[reply(3, &info), reply(1, b"")].concat())?;
+                    break;
+                }
+                _ => stream.write_all(&reply((1 << 31) + 1, b""))?,
+            }
+        }
+        loop {
+            let head = exact(stream, 28)?;
+            let (command, offset, length) =
+                (be::<2>(&head, 6), be::<8>(&head, 16), be::<4>(&head, 24) as u32);
+            let data = if command == 1 { exact(stream, length as usize)? } else { Vec::new() };
+            let chunk = |flags: u16, kind: u16, body: &[u8]| {
+                let mut out = 0x668e_33ef_u32.to_be_bytes().to_vec();
+                out.extend(flags.to_be_bytes());
+                out.extend(kind.to_be_bytes());
+                out.extend_from_slice(&head[8..16]);
+                out.extend((body.len() as u32).to_be_bytes());
+                out.extend_from_slice(body);
+                out
+            };
+            let half = length / 2;
+            let first = [&offset.to_be_bytes()[..], &vec![7; half as usize]].concat();
+            match manner(script) {
+                Manner::TurnAway => {
+                    let text = [&12_u32.to_be_bytes()[..], &[0, 4], b"BUSY"].concat();
+                    stream.write_all(&chunk(1, 0x8001, &text))?;
+                }
+                Manner::Break => return Ok(()),
+                Manner::CutShort => return stream.write_all(&chunk(0, 1, &first)),
+                Manner::Serve if command == 0 => {
+                    let hole =
+                        [(offset + u64::from(half)).to_be_bytes().to_vec(), half.to_be_bytes().to_vec()];
+                    // The later part first: a client is to see it in its place all the same.
+                    let hole = chunk(0, 2, &hole.concat());
+                    stream.write_all(&[hole, chunk(1, 1, &first)].concat())?;
+                }
+                Manner::Serve => {
+                    if command == 1 {
+                        script.lock().expect("the script").written.insert(offset, data);
+                    }
+                    stream.write_all(&chunk(1, 0, b""))?;
+                }
+            }
+        }
+    })
+}
--- /dev/null
+++ b/tests/parsers.rs
@@ -0,0 +1,362 @@
+//! The parsers under random cuts and garbage, and what they make of messages that a peer gets wrong.
+
+mod common;
+
+use bytes::BytesMut;
+use claywinch::interface::{Arrival, Ending};
+use claywinch::state::planner::{Answer, End};
+use claywinch::wire::link::Exchange;
+use claywinch::wire::nbd::server::{Catalogue, Client as NbdClient, Export, Exports, Kind};
+use claywinch::wire::nbd::{client::Node as NbdNode, Operation, Part, Request};
+use claywinch::wire::resp::{Client, Names, Node};
+use claywinch::wire::session::{Numbers, Session};
+use claywinch::wire::{discovery, resp};
+use common::parse::check;
+use std::rc::Rc;
+
+/// Everything that waits to be written by a session.
+fn written(outbox: &mut claywinch::wire::outbox::Outbox) -> Vec<u8> {
+    let bytes = outbox.slices().iter().flat_map(|s| s.to_vec()).collect::<Vec<u8>>();
+    outbox.wrote(bytes.len());
+    bytes
+}
+
+fn resp_client() -> Client {
+    let names = Names { classes: vec!["read".into(), "write".into()], plans: vec!["gold".into()] };
+    Client::new(Rc::new(names), Numbers::default())
+}
+
+const FIELDS: &str = "c=read,t=gold,d=480,volume=00000003b4d60021,units=2,shard=5,hosts=3";
+
+fn get(fields: &str) -> String {
+    format!("*4\r\n$7\r\nOBJ.GET\r\n$2\r\n7f\r\n$2\r\n9b\r\n${}\r\n{fields}\r\n", fields.len())
+}
+
+#[test]
+fn resp_survives_cuts_and_garbage() {
+    let valid = format!("{}*1\r\n$4\r\nPING\r\n*2\r\n*1\r\n:-5\r\n$-1\r\n+a\r\n-b c\r\n*-1\r\n", get(FIELDS));
+    check(valid.as_bytes(), || {
+        |read: &mut BytesMut| {
+            let mut seen = Vec::new();
+            loop {
+                match resp::decode(read) {
+                    Ok(None) => return seen,
+                    Ok(Some(value)) => seen.push(Ok(value)),
+                    Err(broken) => {
+                        read.clear();
+                        seen.push(Err(broken));
+                    }
+                }
+            }
+        }
+    });
+}
+
+#[test]
+fn a_get_is_passed_on_with_the_time_that_is_left() {
+    let (mut client, mut asks) = (resp_client(), Vec::new());
+    client.receive(1_000_000, &mut BytesMut::from(get(FIELDS).as_bytes()), &mut asks);
+    let (arrival, command): (Arrival, _) = asks.remove(0);
+    assert_eq!((arrival.class, arrival.plan, arrival.units, arrival.shard), (0, 0, 2.0, Some(5)));
+    assert!(arrival.due > 1_400_000 && arrival.due < 1_480_000, "{}", arrival.due);
+    let mut node = Node::default();
+    node.send((1, 0), 77_900, command);
+    let sent = String::from_utf8(written(node.outbox())).unwrap();
+    assert_eq!(sent, get(&FIELDS.replace("480", "77")));
+}
+
+#[test]
+fn answers_go_in_the_order_of_commands_and_malformed_ones_get_an_error() {
+    let (mut client, mut asks) = (resp_client(), Vec::new());
+    let bad = [FIELDS.replace("read", "x"), FIELDS.replace("480", "x"), FIELDS.replace("c=", "c"), "".into()];
+    let bad: String = bad.iter().map(|f| get(f)).collect();
+    let text =
+        format!("{}{}*1\r\n$4\r\nPING\r\n*1\r\n$5\r\nHELLO\r\n{bad}*0\r\nnonsense", get(FIELDS), get(FIELDS));
+    client.receive(0, &mut BytesMut::from(text.as_bytes()), &mut asks);
+    let ids: Vec<u64> = asks.iter().map(|(a, _)| a.id).collect();
+    assert_eq!((ids.len(), client.owed(), client.ending()), (2, ids.clone(), true));
+    client.answer(ids[1], Answer::Refused(1_500));
+    assert!(written(client.outbox()).is_empty(), "the first is not answered yet");
+    client.answer(ids[0], Answer::Served("v".into()));
+    let said = String::from_utf8(written(client.outbox())).unwrap();
+    assert!(said.starts_with("$1\r\nv\r\n-BUSY 2\r\n+PONG\r\n-ERR "), "{said}");
+    assert_eq!(said.matches("-ERR ").count(), 1 + 4 + 1 + 1);
+}
+
+#[test]
+fn replies_of_a_resp_node_become_outcomes() {
+    let mut node = Node::default();
+    let (mut client, mut asks) = (resp_client(), Vec::new());
+    let text = get(FIELDS).repeat(4);
+    client.receive(0, &mut BytesMut::from(text.as_bytes()), &mut asks);
+    for (i, (_, command)) in asks.into_iter().enumerate() {
+        node.send((i as u64, 0), 1000, command);
+    }
+    let first = node.outbox().len() / 4;
+    node.outbox().wrote(3 * first as usize);
+    let mut ended = Vec::new();
+    let reply = "*3\r\n$1\r\nv\r\n$14\r\nused=37,cost=4\r\n$-1\r\n-ERR failed used=5\r\n";
+    node.receive(&mut BytesMut::from(reply.as_bytes()), &mut ended).unwrap();
+    let served =
+        End { reply: Some("v".into()), used: Some(0.37), elsewhere: 4.0, ..End::bare(Ending::Served) };
+    assert_eq!(ended, [((0, 0), served), ((1, 0), End { used: Some(0.05), ..End::bare(Ending::Error) })]);
+    // The third was written whole, the fourth was not: only that one cannot have run.
+    let lost: Vec<Ending> = node.lost().into_iter().map(|(_, end)| end.ending).collect();
+    assert_eq!(lost, [Ending::Reset, Ending::Unreachable]);
+}
+
+#[test]
+fn discovery_survives_cuts_and_garbage() {
+    let list = r#"{"revision":41,"complete":true,"members":[{"id":"s-5be2a07c","host_port":"127.1.0.18:6379",
+        "locality":"a","flavor":"m2","cell":3,"phase":"ready","size":1.0,"up_since_ms":7}]}"#;
+    let valid = format!(
+        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n\
+         {:x}\r\n{list}\r\n0\r\n\r\nHTTP/1.1 503 Busy\r\nContent-Length: 1\r\n\r\n!",
+        list.len(),
+        list.len()
+    );
+    check(valid.as_bytes(), || {
+        |read: &mut BytesMut| {
+            let mut seen = Vec::new();
+            loop {
+                match discovery::decode(read) {
+                    Ok(None) => return seen,
+                    Ok(Some(response)) => seen.push(Ok(response)),
+                    Err(broken) => {
+                        read.clear();
+                        seen.push(Err(broken));
+                    }
+                }
+            }
+        }
+    });
+    let (response, keep) = discovery::decode(&mut BytesMut::from(valid.as_bytes())).unwrap().unwrap();
+    let discovery::Response::Listing(listing) = response else { panic!("{response:?}") };
+    let members = listing.into_members(&mut discovery::NodeNumbers::default(), &["b".into(), "a".into()]);
+    let entry = &members[0].entry;
+    assert_eq!(
+        (entry.node, entry.zone, entry.shard, entry.started, keep),
+        (0x5be2_a07c, 1, 3, Some(7_000), true)
+    );
+}
+
+fn exports() -> Exports {
+    let kind = Kind { class: 0, deadline: 1_000_000 };
+    let export = Export {
+        name: "disk".into(),
+        size: 1 << 20,
+        read_only: false,
+        shard: 0,
+        plan: 0,
+        hosts: 1,
+        kinds: [kind; 3],
+        unit: 65_536,
+        most_units: 16,
+    };
+    Rc::new(std::cell::RefCell::new(Rc::new(Catalogue(vec![Some(export)]))))
+}
+
+fn option(number: u32, data: &[u8]) -> Vec<u8> {
+    let mut out = b"IHAVEOPT".to_vec();
+    out.extend(number.to_be_bytes());
+    out.extend((data.len() as u32).to_be_bytes());
+    out.extend_from_slice(data);
+    out
+}
+
+fn go(name: &str) -> Vec<u8> {
+    let mut data = (name.len() as u32).to_be_bytes().to_vec();
+    data.extend_from_slice(name.as_bytes());
+    data.extend([0, 0]);
+    option(7, &data)
+}
+
+fn request(command: u16, offset: u64, length: u32, data: &[u8]) -> Vec<u8> {
+    let mut out = 0x2560_9513_u32.to_be_bytes().to_vec();
+    out.extend([0, 0]);
+    out.extend(command.to_be_bytes());
+    out.extend((u64::from(command) + 70).to_be_bytes());
+    out.extend(offset.to_be_bytes());
+    out.extend(length.to_be_bytes());
+    out.extend_from_slice(data);
+    out
+}
+
+/// A client's conversation up to the transmission phase.
+fn handshake() -> Vec<u8> {
+    [vec![0, 0, 0, 3], option(3, b""), option(99, b"?"), option(8, b""), go("none"), go("disk")].concat()
+}
+
+#[test]
+fn an_nbd_session_survives_cuts_and_garbage() {
+    let valid =
+        [handshake(), request(0, 0, 10, b""), request(1, 4, 3, b"abc"), request(3, 0, 0, b"")].concat();
+    check(&valid, || {
+        let mut session = NbdClient::new(exports(), Numbers::default());
+        move |read: &mut BytesMut| {
+            let mut asks = Vec::new();
+            session.receive(0, read, &mut asks);
+            if session.ending() {
+                read.clear();
+            }
+            asks.into_iter().map(|(a, r)| (a.id, r)).collect()
+        }
+    });
+}
+
+#[test]
+fn what_an_nbd_client_gets_wrong_is_answered_by_the_spec() {
+    let mut session = NbdClient::new(exports(), Numbers::default());
+    let mut asks = Vec::new();
+    written(session.outbox());
+    let long = option(7, &vec![0; 9000]);
+    let wrong = [
+        request(0, 1 << 20, 1, b""),
+        request(0, 0, 2 << 20, b""),
+        request(1, u64::MAX, 2, b"ab"),
+        request(1, 0, (1 << 20) + 1, &vec![0; (1 << 20) + 1]),
+        request(4, 0, 1, b""),
+    ];
+    let text = [handshake(), long.clone(), wrong.concat(), request(0, 0, 4, b"")].concat();
+    let mut read =
+        BytesMut::from(&[&text[..handshake().len() - go("disk").len()], &long, &go("disk")].concat()[..]);
+    session.receive(0, &mut read, &mut asks);
+    let said = written(session.outbox());
+    let kinds: Vec<u32> = said
+        .windows(20)
+        .filter(|w| w[..8] == 0x0003_e889_0455_65a9_u64.to_be_bytes())
+        .map(|w| common::net::be::<4>(w, 12) as u32)
+        .collect();
+    let error = |n: u32| (1 << 31) + n;
+    assert_eq!(kinds, [2, 1, error(1), 1, error(6), error(9), 3, 1]);
+    session.receive(0, &mut BytesMut::from(&wrong.concat()[..]), &mut asks);
+    let said = written(session.outbox());
+    let errors: Vec<u64> = said
+        .windows(24)
+        .filter(|w| w[..4] == 0x668e_33ef_u32.to_be_bytes())
+        .map(|w| common::net::be::<4>(w, 20))
+        .collect();
+    assert_eq!((errors, asks.len()), (vec![22, 22, 28, 22, 95], 0));
+    // Data that was not taken is passed over: the next request is found behind it.
+    session.receive(0, &mut BytesMut::from(&request(0, 0, 4, b"")[..]), &mut asks);
+    assert_eq!(asks.len(), 1);
+    for bad in [vec![255; 4], [vec![0, 0, 0, 3], vec![9; 16]].concat()] {
+        let mut session = NbdClient::new(exports(), Numbers::default());
+        session.receive(0, &mut BytesMut::from(&bad[..]), &mut asks);
+        assert!(session.ending() && session.owed().is_empty(), "{bad:?}");
+    }
+}
+
+#[test]
+fn the_final_answers_of_an_nbd_session_follow_the_table() {
+    let mut session = NbdClient::new(exports(), Numbers::default());
+    let mut asks = Vec::new();
+    let text = [handshake(), request(0, 0, 4, b"").repeat(3)].concat();
+    session.receive(0, &mut BytesMut::from(&text[..]), &mut asks);
+    written(session.outbox());
+    let ids: Vec<u64> = asks.iter().map(|(a, _)| a.id).collect();
+    session.answer(ids[2], Answer::Refused(250_000));
+    session.answer(ids[0], Answer::Failed);
+    session.answer(ids[1], Answer::Served(vec![Part::Data(0, "ab".into()), Part::Hole(2, 2)]));
+    let said = written(session.outbox());
+    let kinds: Vec<(u64, u64)> = said
+        .windows(24)
+        .filter(|w| w[..4] == 0x668e_33ef_u32.to_be_bytes())
+        .map(|w| (common::net::be::<2>(w, 4), common::net::be::<2>(w, 6)))
+        .collect();
+    assert_eq!(kinds, [(1, 0x8001), (1, 0x8001), (0, 1), (1, 2)], "one last chunk for each");
+    assert!(said.windows(8).any(|w| w == b"BUSY 250") && session.owed().is_empty());
+}
+
+/// What an NBD node says up to the transmission phase, and then to a read of ten bytes at 0.
+fn node_says(chunks: &[(u16, u16, Vec<u8>)]) -> Vec<u8> {
+    let reply = |option: u32, kind: u32, data: &[u8]| {
+        let mut out = 0x0003_e889_0455_65a9_u64.to_be_bytes().to_vec();
+        out.extend([option, kind, data.len() as u32].iter().flat_map(|n| n.to_be_bytes()));
+        out.extend_from_slice(data);
+        out
+    };
+    let info = [vec![0, 0], (1_u64 << 20).to_be_bytes().to_vec(), 257_u16.to_be_bytes().to_vec()].concat();
+    let mut out =
+        [b"NBDMAGICIHAVEOPT\0\x03".to_vec(), reply(8, 1, b""), reply(7, 3, &info), reply(7, 1, b"")].concat();
+    for (flags, kind, body) in chunks {
+        out.extend(0x668e_33ef_u32.to_be_bytes());
+        out.extend([flags.to_be_bytes(), kind.to_be_bytes()].concat());
+        out.extend(1_u64.to_be_bytes());
+        out.extend((body.len() as u32).to_be_bytes());
+        out.extend_from_slice(body);
+    }
+    out
+}
+
+fn data(at: u64, bytes: &[u8]) -> Vec<u8> {
+    [&at.to_be_bytes()[..], bytes].concat()
+}
+
+fn nbd_node() -> NbdNode {
+    let mut node = NbdNode::new("disk".into());
+    let read = Request { export: 0, operation: Operation::Read, durable: false, offset: 0, length: 10 };
+    node.send((5, 0), 0, read);
+    node
+}
+
+#[test]
+fn an_nbd_node_survives_cuts_and_garbage() {
+    let chunks = [(0, 1, data(4, b"efghij")), (1, 2, [data(0, b""), vec![0, 0, 0, 4]].concat())];
+    check(&node_says(&chunks), || {
+        let mut node = nbd_node();
+        move |read: &mut BytesMut| {
+            let mut ended = Vec::new();
+            let result = node.receive(read, &mut ended);
+            let mut seen: Vec<Result<_, _>> = ended.into_iter().map(Ok).collect();
+            if let Err(broken) = result {
+                read.clear();
+                seen.push(Err(broken));
+            }
+            seen
+        }
+    });
+}
+
+#[test]
+fn a_reply_in_chunks_is_one_outcome_and_a_cut_one_a_reset() {
+    let whole = [(0, 1, data(4, b"efghij")), (1, 2, [data(0, b""), vec![0, 0, 0, 4]].concat())];
+    let (mut node, mut ended) = (nbd_node(), Vec::new());
+    node.receive(&mut BytesMut::from(&node_says(&whole[..1])[..]), &mut ended).unwrap();
+    assert!(ended.is_empty());
+    written(node.outbox());
+    assert_eq!(node.lost(), [((5, 0), End::bare(Ending::Reset))]);
+    let mut node = nbd_node();
+    node.receive(&mut BytesMut::from(&node_says(&whole)[..]), &mut ended).unwrap();
+    let parts = vec![Part::Hole(0, 4), Part::Data(4, "efghij".into())];
+    assert_eq!(ended, [((5, 0), End { reply: Some(parts), ..End::bare(Ending::Served) })]);
+}
+
+#[test]
+fn what_an_nbd_node_gets_wrong_serves_nobody() {
+    let busy = [&12_u32.to_be_bytes()[..], &[0, 6], b"BUSY 9"].concat();
+    let shut = [&108_u32.to_be_bytes()[..], &[0, 0]].concat();
+    for (chunks, ending) in [
+        (vec![(1, 0x8001, busy.clone())], Some(Ending::Full)),
+        (vec![(0, 1, data(0, b"abc")), (1, 0x8001, busy)], Some(Ending::Error)),
+        (vec![(1, 0x8001, shut)], Some(Ending::Error)),
+        (vec![(1, 1, data(0, b"abc"))], Some(Ending::Error)),
+        (vec![(1, 1, data(8, b"abc"))], None),
+        (vec![(0, 1, data(0, b"abc")), (1, 1, data(2, b"cdefghij"))], None),
+        (vec![(1, 7, vec![])], None),
+        (vec![(1, 1, vec![0; 3])], None),
+    ] {
+        let (mut node, mut ended) = (nbd_node(), Vec::new());
+        let result = node.receive(&mut BytesMut::from(&node_says(&chunks)[..]), &mut ended);
+        written(node.outbox());
+        match ending {
+            Some(ending) => assert_eq!(ended, [((5, 0), End::bare(ending))], "{chunks:?}"),
+            None => {
+                assert!(result.is_err() && ended.is_empty(), "{chunks:?}");
+                assert_eq!(node.lost(), [((5, 0), End::bare(Ending::Reset))], "{chunks:?}");
+            }
+        }
+    }
+    // Before the handshake is done nothing has been sent.
+    assert_eq!(nbd_node().lost(), [((5, 0), End::bare(Ending::Unreachable))]);
+}
