Agree on the NBD configuration by Raft; count deadlines from a stall's beginning

Raft: src/state/agreement.rs drives the raft crate's RawNode and keeps its state and log in a file before any message goes out; src/wire/raft.rs frames its messages; src/run/peers.rs connects peers.

Guarded against what could do it: a request read after a stall now counts from the stall's beginning (Pulse in src/run/clock.rs), and a held request whose attempt fails after half of its time is answered 15 ms before its end, no longer at the end (last_call in src/rules.rs).

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -754,10 +754,10 @@
     fn last_call(&mut self, now: Time, id: RequestId, acts: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
         let last = request.due - LAST_CALL;
-        if request.out > 0 && now < request.due {
-            self.agenda.insert((request.due, Wake::Due(id)));
-        } else if now < last && (request.maybe.is_some() || self.hopeful(now, request)) {
+        if now < last && (request.out > 0 || request.maybe.is_some() || self.hopeful(now, request)) {
             self.agenda.insert((last, Wake::Due(id)));
+        } else if request.out > 0 && now < request.due {
+            self.agenda.insert((request.due, Wake::Due(id)));
         } else {
             self.give_up(now, id, acts);
         }
--- a/src/run/catalogue.rs
+++ b/src/run/catalogue.rs
@@ -7,6 +7,7 @@
 use crate::wire::discovery::NodeNumbers;
 use crate::wire::nbd::server::{Catalogue, Export, Kind};
 use serde::{Deserialize, Serialize};
+use std::path::PathBuf;
 
 /// The whole file.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -29,6 +30,8 @@
     /// Number of this instance among the peers.
     #[serde(default)]
     pub own_peer: u64,
+    /// File in which this instance keeps what it has promised its peers, so that it may be restarted.
+    pub kept: Option<PathBuf>,
     /// What the peers agree on.
     #[serde(flatten)]
     pub shared: Shared,
@@ -209,6 +212,10 @@
         let content = |reason: String| ConfigError::Content { path: path.to_string(), reason };
         let deploy: Deploy = toml::from_str(text).map_err(|e| content(e.to_string()))?;
         deploy.shared.catalogue(&deploy).map_err(content)?;
+        let own = |p: &Peer| p.id == deploy.own_peer && p.id > 0;
+        if !deploy.peers.is_empty() && !deploy.peers.iter().any(own) {
+            return Err(content(format!("own_peer {} is not among the peers", deploy.own_peer)));
+        }
         Ok(deploy)
     }
 
@@ -300,3 +307,39 @@
         self.nodes.iter().map(member).collect()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn parse(text: &str) -> Result<Deploy, ConfigError> {
+        Deploy::parse("nbd.toml", text)
+    }
+
+    #[test]
+    fn the_file_that_is_shipped_leaves_the_front_off() {
+        let text = include_str!("../../deploy/nbd.toml");
+        assert_eq!(parse(text).expect("it can be read").listen, None);
+        // Its example, with the comment signs taken off, is a file that works.
+        let bare = |line: &str| line.strip_prefix("# ").unwrap_or("").to_string();
+        let example: Vec<String> = text.lines().map(bare).collect();
+        let deploy = parse(&example.join("\n")).expect("the example can be read");
+        let catalogue = deploy.shared.catalogue(&deploy).expect("it fits together");
+        assert_eq!((catalogue.0.len(), deploy.shared.nodes.len(), deploy.peers.len()), (1, 1, 1));
+        assert_eq!(deploy.settings().classes[0].effect, Effect::Safe);
+    }
+
+    #[test]
+    fn what_does_not_fit_together_is_refused() {
+        let export = "[[export]]\nname='e'\nsize=1\nshard=0\nplan='p'\nread='c'\nwrite='c'\nflush='c'\n";
+        let class = "[[class]]\nname='c'\nwanted_ms=1\ndeadline_ms=9\nworth=1.0\nrepeat='safe'\n";
+        let plan = "[[plan]]\nname='p'\nrate=1.0\nreserve=1.0\n";
+        assert!(parse(&format!("{class}{plan}{export}")).is_ok());
+        let twice = format!("{class}{plan}{export}{export}");
+        let peers = "[[peer]]\nid=1\naddress='127.0.0.1:1'\n";
+        for bad in [format!("{plan}{export}"), format!("{class}{export}"), twice, peers.into(), "x = ".into()]
+        {
+            assert!(parse(&bad).is_err(), "{bad}");
+        }
+    }
+}
--- a/src/run/mod.rs
+++ b/src/run/mod.rs
@@ -6,5 +6,6 @@
 pub mod fleet;
 pub mod limits;
 pub mod nbd;
+pub mod peers;
 pub mod settings;
 pub mod start;
--- a/src/run/nbd.rs
+++ b/src/run/nbd.rs
@@ -1,12 +1,14 @@
 //! Starts the NBD front with a planner and a fleet of its own, and applies what its configuration becomes.
 
 use super::catalogue::{Deploy, Shared};
-use super::clock::Clock;
+use super::clock::{Clock, Pulse};
 use super::fleet::Fleet;
 use super::limits::{Limits, Seats};
+use super::peers::Peers;
 use super::settings::Bounds;
 use super::start::{listen, Front, StartError};
 use crate::interface::ListKind;
+use crate::state::agreement::Agreement;
 use crate::state::planner::{Input, Planner};
 use crate::state::pool::PoolLimits;
 use crate::wire::discovery::NodeNumbers;
@@ -14,6 +16,7 @@
 use crate::wire::nbd::server::{Client, Exports};
 use crate::wire::nbd::Nbd;
 use crate::wire::session::Numbers;
+use bytes::Bytes;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::signal::unix::{signal, SignalKind};
@@ -25,6 +28,8 @@
 pub struct Place {
     /// The time.
     pub clock: Clock,
+    /// Whether the process has been stalled.
+    pub pulse: Pulse,
     /// For random numbers.
     pub seed: u64,
     /// Its connections.
@@ -84,7 +89,6 @@
         planner: own.clone(),
         deploy: deploy.clone(),
     };
-    applied.apply(&deploy.shared);
     let fleet = Fleet {
         name: "nbd",
         planner,
@@ -102,7 +106,7 @@
     let front = Front {
         listener: listen(&address)?,
         planner: own,
-        clock: place.clock,
+        pulse: place.pulse,
         seats: seats.clone(),
         most: place.limits.clients,
         stopping: place.stopping,
@@ -111,10 +115,28 @@
     let accepting = tokio::task::spawn_local(front.accept(move || Client::new(exports.clone(), ids.clone())));
     let mut hangup =
         signal(SignalKind::hangup()).map_err(|error| StartError::Io { what: "SIGHUP".to_string(), error })?;
+    // Where news of the configuration go: to the peers, or into force at once where there are none.
+    let mut news: Box<dyn FnMut(Shared)> = if deploy.peers.len() > 1 {
+        let (wish, wishes) = unbounded_channel();
+        let ids: Vec<u64> = deploy.peers.iter().map(|p| p.id).collect();
+        let agreement = Agreement::new(deploy.own_peer, &ids, deploy.kept.clone())?;
+        let (own, first) = (deploy.own_peer, encode(&deploy.shared));
+        let peers = Peers { own, all: deploy.peers, agreement, wishes, first };
+        peers.start(move |value| match serde_json::from_slice(&value) {
+            Ok(shared) => applied.apply(&shared),
+            Err(error) => tracing::error!(%error, "peers agreed on something else than a configuration"),
+        })?;
+        Box::new(move |shared| {
+            let _ = wish.send(encode(&shared));
+        })
+    } else {
+        applied.apply(&deploy.shared);
+        Box::new(move |shared| applied.apply(&shared))
+    };
     tokio::task::spawn_local(async move {
         while hangup.recv().await.is_some() {
             match Deploy::load(&path) {
-                Ok(Some(new)) => applied.apply(&new.shared),
+                Ok(Some(new)) => news(new.shared),
                 Ok(None) => tracing::error!(path, "configuration is gone; the last one stays"),
                 Err(error) => tracing::error!(%error, "configuration not taken"),
             }
@@ -123,3 +145,8 @@
     tracing::info!(listen = address, "NBD front on");
     Ok(Running { seats, accepting })
 }
+
+fn encode(shared: &Shared) -> Bytes {
+    // Names and numbers only: there is nothing in it that JSON could not hold.
+    serde_json::to_vec(shared).unwrap_or_default().into()
+}
--- a/src/run/start.rs
+++ b/src/run/start.rs
@@ -1,12 +1,13 @@
 //! Puts the broker together, serves until it is told to stop, and sees everything answered before it ends.
 
 use super::catalogue::Deploy;
-use super::clock::Clock;
+use super::clock::{Clock, Pulse};
 use super::config::{Config, ConfigError};
 use super::fleet::Fleet;
 use super::limits::{Limits, Seats};
 use super::nbd;
 use crate::interface::{ListKind, SettingsError};
+use crate::state::agreement::AgreementError;
 use crate::state::planner::{Input, Planner, Wire};
 use crate::state::pool::PoolLimits;
 use crate::wire::discovery::NodeNumbers;
@@ -38,6 +39,9 @@
     /// The scheduler's settings.
     #[error(transparent)]
     Settings(#[from] SettingsError),
+    /// The agreement with peers.
+    #[error(transparent)]
+    Agreement(#[from] AgreementError),
     /// A socket or a signal.
     #[error("{what}: {error}")]
     Io {
@@ -69,7 +73,7 @@
 pub(super) struct Front<W: Wire> {
     pub listener: TcpListener,
     pub planner: UnboundedSender<Input<W>>,
-    pub clock: Clock,
+    pub pulse: Pulse,
     pub seats: Seats,
     pub most: usize,
     pub stopping: watch::Receiver<bool>,
@@ -88,7 +92,14 @@
                 Ok((stream, _)) => {
                     let seat = self.seats.take();
                     let (planner, stopping) = (self.planner.clone(), self.stopping.clone());
-                    tokio::task::spawn_local(serve(stream, session(), planner, self.clock, stopping, seat));
+                    tokio::task::spawn_local(serve(
+                        stream,
+                        session(),
+                        planner,
+                        self.pulse.clone(),
+                        stopping,
+                        seat,
+                    ));
                 }
                 Err(error) => {
                     tracing::warn!(%error, clients = self.seats.len(), "cannot accept");
@@ -117,6 +128,8 @@
     let mut interrupt = signal(SignalKind::interrupt()).map_err(io("SIGINT"))?;
     let (stop, stopping) = watch::channel(false);
     let seats = Seats::default();
+    let pulse = Pulse::new(clock);
+    tokio::task::spawn_local(pulse.clone().run());
 
     let planner = Planner::<Resp>::new(config.start.settings.clone(), config.seed, clock.now(), pool)?;
     let (own, inputs) = unbounded_channel();
@@ -144,7 +157,7 @@
     let front = Front {
         listener: listen(&config.listen)?,
         planner: own,
-        clock,
+        pulse: pulse.clone(),
         seats: seats.clone(),
         most: limits.clients,
         stopping: stopping.clone(),
@@ -155,7 +168,7 @@
     let nbd = match deploy.filter(|_| nbd_on) {
         None => None,
         Some(deploy) => {
-            let place = nbd::Place { clock, seed: config.seed, limits: nbd_limits, stopping };
+            let place = nbd::Place { clock, pulse, seed: config.seed, limits: nbd_limits, stopping };
             Some(nbd::start(deploy, config.nbd_file, place, bounds)?)
         }
     };
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -5,6 +5,7 @@
 pub mod link;
 pub mod nbd;
 pub mod outbox;
+pub mod raft;
 pub mod resp;
 pub mod session;
 pub mod watch;
--- a/src/wire/session.rs
+++ b/src/wire/session.rs
@@ -4,7 +4,7 @@
 use super::outbox::Outbox;
 use crate::interface::Time;
 use crate::interface::{Arrival, RequestId};
-use crate::run::clock::Clock;
+use crate::run::clock::Pulse;
 use crate::run::limits::Seat;
 use crate::state::planner::{Answer, Ask, Back, Input, Wire};
 use bytes::BytesMut;
@@ -35,7 +35,7 @@
 
 /// The server's side of a protocol, spoken with a client. Sans-I/O.
 pub trait Session<W: Wire>: 'static {
-    /// Takes what was read and consumes what is whole of it; `now` is when it was read.
+    /// Takes what was read and consumes what is whole of it; `now` is when it came.
     fn receive(&mut self, now: Time, read: &mut BytesMut, asks: &mut Vec<(Arrival, W::Request)>);
     /// Takes the final answer of a request.
     fn answer(&mut self, id: RequestId, answer: Answer<W::Reply>);
@@ -61,7 +61,7 @@
     stream: TcpStream,
     mut session: S,
     planner: UnboundedSender<Input<W>>,
-    clock: Clock,
+    pulse: Pulse,
     mut stopping: watch::Receiver<bool>,
     seat: Seat,
 ) {
@@ -88,7 +88,7 @@
                 }
                 // What was read but held back because too much was owed.
                 if !read.is_empty() && !session.full() {
-                    session.receive(clock.now(), &mut read, &mut asks);
+                    session.receive(pulse.came(), &mut read, &mut asks);
                     hand_over(&planner, &back, &mut asks);
                 }
             }
@@ -108,7 +108,7 @@
                     Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => continue,
                     Err(_) => break,
                 }
-                session.receive(clock.now(), &mut read, &mut asks);
+                session.receive(pulse.came(), &mut read, &mut asks);
                 hand_over(&planner, &back, &mut asks);
             }
             _ = stopping.changed(), if !*stopping.borrow() => session.stop(),
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -165,8 +165,10 @@
     TurnAway,
     /// It reads the request and closes.
     Break,
-    /// It begins its reply, if the protocol can, and closes.
+    /// It begins its reply and closes.
     CutShort,
+    /// It reads the request and says nothing until the connection ends.
+    Hang,
 }
 
 /// What a node has seen, and what it is to do.
@@ -246,6 +248,7 @@
             Manner::TurnAway => stream.write_all(b"-BUSY\r\n")?,
             Manner::Break => return Ok(()),
             Manner::CutShort => return stream.write_all(b"*3\r\n$5\r\nval"),
+            Manner::Hang => return stream.read(&mut [0]).map(|_| ()),
         }
     })
 }
@@ -305,6 +308,7 @@
                 }
                 Manner::Break => return Ok(()),
                 Manner::CutShort => return stream.write_all(&chunk(0, 1, &first)),
+                Manner::Hang => return stream.read(&mut [0]).map(|_| ()),
                 Manner::Serve if command == 0 => {
                     let hole =
                         [(offset + u64::from(half)).to_be_bytes().to_vec(), half.to_be_bytes().to_vec()];
