--- a/src/main.rs
+++ b/src/main.rs
@@ -7,7 +7,10 @@
 
 fn main() -> ExitCode {
     let filter = EnvFilter::try_from_env("CLAYWINCH_LOG").unwrap_or_else(|_| EnvFilter::new("info"));
-    tracing_subscriber::fmt().with_env_filter(filter).with_ansi(false).with_writer(std::io::stderr).init();
+    // A reader of the log that falls behind must not hold up answers: lines are written by a thread of their
+    // own, and lost where it cannot keep up.
+    let (log, _flushed_at_the_end) = tracing_appender::non_blocking(std::io::stderr());
+    tracing_subscriber::fmt().with_env_filter(filter).with_ansi(false).with_writer(log).init();
     let outcome = Config::from_env(|name| std::env::var(name).ok())
         .map_err(start::StartError::from)
         .and_then(|config| {
--- a/src/run/catalogue.rs
+++ b/src/run/catalogue.rs
@@ -284,6 +284,10 @@
                 most_units: MOST_UNITS,
             }))
         };
+        let never = |name: &str| deploy.classes.iter().any(|c| c.name == name && c.repeat == Repeat::Never);
+        if let Some(e) = self.exports.iter().find(|e| !e.read_only && !never(&e.write)) {
+            return Err(format!("export {}: class {} may run twice, writes must not", e.name, e.write));
+        }
         for (i, e) in self.exports.iter().enumerate() {
             if e.size == 0 || self.exports[..i].iter().any(|other| other.name == e.name) {
                 return Err(format!("export {}: its size is 0 or its name stands twice", e.name));
@@ -331,14 +335,23 @@
 
     #[test]
     fn what_does_not_fit_together_is_refused() {
-        let export = "[[export]]\nname='e'\nsize=1\nshard=0\nplan='p'\nread='c'\nwrite='c'\nflush='c'\n";
+        let export = "[[export]]\nname='e'\nsize=1\nshard=0\nplan='p'\nread='c'\nwrite='w'\nflush='c'\n";
         let class = "[[class]]\nname='c'\nwanted_ms=1\ndeadline_ms=9\nworth=1.0\nrepeat='safe'\n";
+        let once = class.replace("'c'", "'w'").replace("safe", "never");
+        let class = format!("{class}{once}");
         let plan = "[[plan]]\nname='p'\nrate=1.0\nreserve=1.0\n";
         assert!(parse(&format!("{class}{plan}{export}")).is_ok());
         let twice = format!("{class}{plan}{export}{export}");
+        let unsafe_write = format!("{class}{plan}{}", export.replace("write='w'", "write='c'"));
         let peers = "[[peer]]\nid=1\naddress='127.0.0.1:1'\n";
-        for bad in [format!("{plan}{export}"), format!("{class}{export}"), twice, peers.into(), "x = ".into()]
-        {
+        for bad in [
+            format!("{plan}{export}"),
+            format!("{class}{export}"),
+            twice,
+            unsafe_write,
+            peers.into(),
+            "x = ".into(),
+        ] {
             assert!(parse(&bad).is_err(), "{bad}");
         }
     }
--- a/src/run/limits.rs
+++ b/src/run/limits.rs
@@ -8,6 +8,9 @@
 
 /// Descriptors kept for the listener, discovery, the runtime, the log and signals.
 const RESERVED: usize = 40;
+/// Connections that may be on their way out at once: leaving takes a moment, and calling one after another
+/// meanwhile would empty the house for one newcomer.
+const MOST_LEAVING: usize = 8;
 /// Memory that a client connection may take: its read buffer, its unread answers, its requests.
 const CLIENT_KB: usize = 96;
 
@@ -73,9 +76,12 @@
         Seat { number, taken, seats: self.clone() }
     }
 
-    /// Asks the connection that has been between requests for longest to leave; false if there is none.
+    /// Asks the connection that has been between requests for longest to leave; false if none is asked.
     pub fn call_idle(&self) -> bool {
         let taken = self.taken.borrow();
+        if taken.values().filter(|t| t.called.get()).count() >= MOST_LEAVING {
+            return false;
+        }
         let idle = taken.values().filter(|t| t.idle.get() && !t.called.get());
         let Some(longest) = idle.min_by_key(|t| t.idle_since.get()) else { return false };
         longest.called.set(true);
@@ -150,5 +156,8 @@
         assert!(!seats.call_idle() && !c.is_called());
         drop(b);
         assert_eq!(seats.len(), 2);
+        let more: Vec<Seat> = (0..2 * MOST_LEAVING).map(|_| seats.take()).collect();
+        more.iter().for_each(|s| s.set_idle(true));
+        assert_eq!((0..2 * MOST_LEAVING).filter(|_| seats.call_idle()).count(), MOST_LEAVING);
     }
 }
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -48,6 +48,11 @@
 impl Broker {
     /// Starts one with these settings; `nbd` is the text of its NBD file, without `listen`.
     pub fn start(name: &str, settings: &str, discovery: &str, nbd: Option<&str>) -> Self {
+        Self::start_within(name, settings, discovery, nbd, 256)
+    }
+
+    /// The same where the process may hold so many descriptors, though its configuration says 256.
+    pub fn start_within(name: &str, settings: &str, discovery: &str, nbd: Option<&str>, files: u32) -> Self {
         let folder = std::env::temp_dir().join(format!("claywinch-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
         let (listen, nbd_listen) = (free_address(), free_address());
@@ -60,7 +65,9 @@
         if let Some(text) = nbd {
             std::fs::write(&nbd_file, format!("listen = \"{nbd_listen}\"\n{text}")).expect("a file");
         }
-        let child = Command::new(env!("CARGO_BIN_EXE_claywinch"))
+        let shell = format!("ulimit -n {files} && exec {}", env!("CARGO_BIN_EXE_claywinch"));
+        let child = Command::new("sh")
+            .args(["-c", &shell])
             .env("RELAY_CONFIG", folder.join("config.json"))
             .env("RELAY_LISTEN", &listen)
             .env("RELAY_DISCOVERY", discovery)
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -388,3 +388,19 @@
     let open = open.count();
     assert!((50..200).contains(&open), "{open} of 300 are still open");
 }
+
+/// Guards against a broker that ends or stands still when the machine gives it no more descriptors.
+#[test]
+fn running_out_of_descriptors_is_survived() {
+    let (script, address) = resp_node();
+    let (_discovery, discovery) = Discovery::start(&member("s-00000001", &address, 0, State::Ready));
+    let broker = Broker::start_within("files", SETTINGS, &discovery, None, 40);
+    until("the list is in force", || broker.log().contains("list of nodes"));
+    let clients: Vec<TcpStream> = (0..60).map(|_| connect(&broker.listen)).collect();
+    until("descriptors have run out", || broker.log().contains("cannot accept"));
+    drop(clients);
+    let mut stream = connect(&broker.listen);
+    stream.write_all(resp_command(false).as_bytes()).unwrap();
+    assert_eq!(resp_verdict(&mut stream), Served);
+    assert_eq!(script.lock().unwrap().seen, 1);
+}
