Let a write that provably never ran go again after its second attempt, too

Seen: a planner test without any link: a write whose four attempts were all unreachable was failed, where it may be refused. At fault: outcome in src/rules.rs cleared the mark of an attempt that may have run only while it was the first (tries == 1); from the second on the write was taken to have run. The mark now carries the attempt's number, and is cleared when that very attempt turns out never to have run.

Two simpler forms were ruled out by the inherited property test: by send time and node (two attempts of one moment look alike), and with copies out beside it.

Also tests: the planner without sockets, simple replies and EXPORT_NAME on both sides of NBD, nodes whose flush covers one connection only.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -176,8 +176,8 @@
     part: f64,
     tries: u32,
     out: u32,
-    /// Send and node of the first attempt that may have run.
-    maybe: Option<(Time, NodeId)>,
+    /// Send, node and number of the first attempt that may have run.
+    maybe: Option<(Time, NodeId, u32)>,
     rank: Option<Rank>,
     /// It has taken its units from its volume's limit.
     paid: bool,
@@ -645,7 +645,7 @@
         if request.tries >= self.set.max_attempts || (request.out > 0 && !self.set.second_copies) {
             return false;
         }
-        let Some((sent, first)) = request.maybe else { return true };
+        let Some((sent, first, _)) = request.maybe else { return true };
         let class = &self.set.classes[request.class];
         let (Some(a), Some(b)) = (self.nodes.get(&first), self.nodes.get(&node)) else { return false };
         match class.effect {
@@ -686,7 +686,7 @@
         }
         request.tries += 1;
         request.out += 1;
-        request.maybe = request.maybe.or(Some((now, to)));
+        request.maybe = request.maybe.or(Some((now, to, attempt)));
         let ordered_key = request.key.clone().filter(|_| self.set.classes[request.class].ordered);
         if let Some(line) = ordered_key.as_ref().and_then(|k| self.lines.get_mut(k)) {
             line.out += 1;
@@ -730,7 +730,10 @@
                 volume.own = volume.own * KEEP_PART + own;
                 volume.other = volume.other * KEEP_PART + o.elsewhere.max(0.0);
             }
-            if never_ran && request.out == 0 && request.tries == 1 {
+            // Whatever went before it never ran either, or that would be the first that may have. Copies that
+            // were out beside it may have ended since.
+            let alone = request.tries == 1 || (!self.set.second_copies && request.out == 0);
+            if never_ran && alone && request.maybe.is_some_and(|m| m.2 == o.attempt) {
                 request.maybe = None;
             }
             if o.closed {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -498,3 +498,23 @@
     assert!(!refused.contains(&4), "the next in turn has: {refused:?}");
     assert!(refused.len() > 10 && d.now - 5_000_000 < 1_000_000);
 }
+
+/// Guards against failing a write that provably never ran because it was turned away more than once.
+#[test]
+fn a_write_turned_away_twice_may_still_go_again_and_one_that_may_have_run_may_not() {
+    for (ending, goes_on) in [(Ending::Unreachable, true), (Ending::Reset, false)] {
+        let mut d = Drive::new(Settings { budget: None, ..settings() });
+        d.nodes(&[(1, 0)]);
+        let mut acts = d.request(Ask { class: 2, due: d.now + 9_000_000, ..ask(1) });
+        for attempt in 0..3 {
+            assert_eq!(sends(&acts), [(1, 1)], "attempt {attempt}");
+            let ending = if attempt == 1 { ending } else { Ending::Unreachable };
+            acts = d.ended(1, attempt, 1, ending, 1000);
+            assert_eq!(acts.contains(&Action::Fail(1)), attempt == 1 && !goes_on);
+            if attempt == 1 && !goes_on {
+                break;
+            }
+            acts = d.tick(600_000); // The next trial of a node that is unwell.
+        }
+    }
+}
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -357,3 +357,49 @@
         .collect();
     check(&valid, || drain(claywinch::wire::raft::decode));
 }
+
+/// Guards the paths of clients and nodes that know neither GO nor structured replies.
+#[test]
+fn old_clients_and_nodes_speak_simple_replies() {
+    let mut session = NbdClient::new(exports(), Numbers::default());
+    let mut asks = Vec::new();
+    written(session.outbox());
+    let text =
+        [vec![0, 0, 0, 1], option(1, b"disk"), request(0, 2, 6, b""), request(1, 0, 2, b"xy")].concat();
+    session.receive(0, &mut BytesMut::from(&text[..]), &mut asks);
+    let export = written(session.outbox());
+    assert_eq!((export.len(), common::net::be::<8>(&export, 0)), (8 + 2 + 124, 1 << 20));
+    session.answer(asks[0].0.id, Answer::Served(vec![Part::Hole(2, 4), Part::Data(6, "ab".into())]));
+    session.answer(asks[1].0.id, Answer::Refused(9_000));
+    let said = written(session.outbox());
+    let reply = |errno: u32, cookie: u64| {
+        [&0x6744_6698_u32.to_be_bytes()[..], &errno.to_be_bytes(), &cookie.to_be_bytes()].concat()
+    };
+    assert_eq!(said, [reply(0, 70), vec![0; 4], b"ab".to_vec(), reply(12, 71)].concat());
+
+    let (mut node, mut ended) = (nbd_node(), Vec::new());
+    let refused = |option: u32| {
+        let mut out = 0x0003_e889_0455_65a9_u64.to_be_bytes().to_vec();
+        out.extend([option, (1 << 31) + 1, 0].iter().flat_map(|n: &u32| n.to_be_bytes()));
+        out
+    };
+    let export = [&(1_u64 << 20).to_be_bytes()[..], &257_u16.to_be_bytes()].concat();
+    let text = [b"NBDMAGICIHAVEOPT\0\x03".to_vec(), refused(8), refused(7), export, reply(0, 1), vec![5; 10]];
+    node.receive(&mut BytesMut::from(&text.concat()[..]), &mut ended).unwrap();
+    let parts = vec![Part::Data(0, vec![5; 10].into())];
+    assert_eq!(ended, [((5, 0), End { reply: Some(parts), ..End::bare(Ending::Served) })]);
+    let asked = written(node.outbox());
+    assert!(asked.windows(16).any(|w| w == &option(1, b"disk")[..16]), "EXPORT_NAME in place of GO");
+}
+
+/// Guards against taking part in flushes that would miss what other connections wrote.
+#[test]
+fn a_node_whose_flush_covers_one_connection_only_takes_no_writes() {
+    let says = |flags: u16| {
+        let mut text = node_says(&[]);
+        let at = text.windows(2).position(|w| w == 257_u16.to_be_bytes()).unwrap();
+        text[at..at + 2].copy_from_slice(&flags.to_be_bytes());
+        nbd_node().receive(&mut BytesMut::from(&text[..]), &mut Vec::new())
+    };
+    assert!(says(1 | 4).is_err() && says(1 | 2).is_ok() && says(1 | 256).is_ok());
+}
--- /dev/null
+++ b/tests/planner.rs
@@ -0,0 +1,142 @@
+//! The planner without sockets: what a turn does with links, attempts and final answers.
+
+mod common;
+
+use claywinch::interface::*;
+use claywinch::state::planner::{Answer, Ask as Asked, Effect, End, Input, Member, Planner, Tag, Wire};
+use claywinch::state::pool::{LinkId, PoolLimits};
+use common::{ask, entry, settings, Ask, Drive};
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+
+struct Text;
+
+impl Wire for Text {
+    type Request = &'static str;
+    type Reply = &'static str;
+}
+
+struct Bench {
+    planner: Planner<Text>,
+    now: Time,
+    back: UnboundedSender<(RequestId, Answer<&'static str>)>,
+    answers: UnboundedReceiver<(RequestId, Answer<&'static str>)>,
+}
+
+impl Bench {
+    /// A planner with one node that is up, and so many links.
+    fn new(links: usize) -> Self {
+        let limits = PoolLimits { links, links_per_node: 8, multiplex: 2, idle: 3_000_000 };
+        let set = Settings { cancel: true, budget: None, ..settings() };
+        let now = 5_000_000;
+        let planner = Planner::new(set, 7, now, limits).expect("good settings");
+        let (back, answers) = unbounded_channel();
+        let mut bench = Bench { planner, now, back, answers };
+        let up = Member { entry: entry(1, 0, NodeState::Up, None), address: "a node".into() };
+        bench.turn(0, vec![Input::Nodes(ListKind::Full, vec![up])]);
+        bench
+    }
+    fn turn(&mut self, later: Time, inputs: Vec<Input<Text>>) -> Vec<Effect<Text>> {
+        self.now += later;
+        let mut effects = Vec::new();
+        self.planner.turn(self.now, inputs, &mut effects);
+        effects
+    }
+    fn request(&self, ask: Ask) -> Input<Text> {
+        let drive = Drive { now: self.now, ..Drive::new(settings()) };
+        let Event::Request(arrival) = drive.arrival(ask) else { unreachable!("an arrival is a request") };
+        Input::Ask(Asked { arrival, request: "what", back: self.back.clone() })
+    }
+    fn answered(&mut self) -> Vec<(RequestId, Answer<&'static str>)> {
+        std::iter::from_fn(|| self.answers.try_recv().ok()).collect()
+    }
+}
+
+fn served() -> End<&'static str> {
+    End { reply: Some("reply"), ..End::bare(Ending::Served) }
+}
+
+fn sent(effects: &[Effect<Text>]) -> Vec<(LinkId, Tag)> {
+    let send =
+        |e: &Effect<Text>| if let Effect::Send(link, tag, ..) = e { Some((*link, *tag)) } else { None };
+    effects.iter().filter_map(send).collect()
+}
+
+fn closed(effects: &[Effect<Text>]) -> Vec<LinkId> {
+    effects.iter().filter_map(|e| if let Effect::Close(link) = e { Some(*link) } else { None }).collect()
+}
+
+/// Guards against an answer given twice, and against a late outcome being taken for another's.
+#[test]
+fn a_request_has_one_final_answer_whatever_comes_after_it() {
+    let mut b = Bench::new(4);
+    let input = b.request(ask(1));
+    assert_eq!(sent(&b.turn(0, vec![input])), [(0, (1, 0))]);
+    let twice = (0..2).map(|_| Input::Ended(0, (1, 0), served())).collect();
+    b.turn(50_000, twice);
+    b.turn(0, vec![Input::Gone(1), Input::Ended(0, (1, 0), End::bare(Ending::Reset))]);
+    assert_eq!(b.answered(), [(1, Answer::Served("reply"))]);
+    assert_eq!(b.planner.load(), (0, 0, 1));
+}
+
+/// Guards against requests written to a link that its node is about to close.
+#[test]
+fn an_idle_link_is_let_go_in_time_and_a_used_one_is_not() {
+    let mut b = Bench::new(4);
+    let input = b.request(ask(1));
+    b.turn(0, vec![input]);
+    b.turn(50_000, vec![Input::LinkUp(0), Input::Ended(0, (1, 0), served())]);
+    b.now += 2_000_000;
+    let input = b.request(ask(2));
+    assert_eq!(sent(&b.turn(0, vec![input])), [(0, (2, 0))], "the link is used again");
+    b.turn(50_000, vec![Input::Ended(0, (2, 0), served())]);
+    assert!(closed(&b.turn(2_900_000, vec![])).is_empty());
+    assert_eq!(closed(&b.turn(200_000, vec![])), [0]);
+}
+
+/// Guards against a second copy: what is given up is closed before anything else is sent for its request;
+/// and against breaking others' attempts for one that nobody waits for.
+#[test]
+fn giving_up_closes_the_link_unless_others_share_it_and_nobody_waits() {
+    let mut b = Bench::new(1);
+    let inputs = vec![b.request(ask(1)), b.request(ask(2))];
+    assert_eq!(sent(&b.turn(0, inputs)), [(0, (1, 0)), (0, (2, 0))], "one link for both");
+    assert!(closed(&b.turn(1000, vec![Input::Gone(1)])).is_empty(), "the other's answer is still to come");
+    assert_eq!(
+        closed(&b.turn(1000, vec![Input::Gone(2)])),
+        Vec::<LinkId>::new(),
+        "both are still counted on it"
+    );
+    let mut b = Bench::new(4);
+    let inputs = vec![b.request(ask(1)), b.request(ask(2))];
+    b.turn(0, inputs);
+    assert_eq!(closed(&b.turn(1000, vec![Input::Gone(1)])), [0]);
+}
+
+/// Guards against waiting for a link that cannot be had: the scheduler is told in the same turn.
+#[test]
+fn without_a_link_an_attempt_is_unreachable_at_once() {
+    let mut b = Bench::new(0);
+    let input = b.request(Ask { class: 2, ..ask(1) });
+    assert!(sent(&b.turn(0, vec![input])).is_empty());
+    let counts = b.planner.take_counts();
+    assert_eq!((counts.sent, counts.endings[Ending::Unreachable as usize]), (1, 1));
+    while b.planner.load().0 > 0 {
+        let next = b.planner.next_deadline().expect("something is to come") - b.now;
+        b.turn(next.max(1), vec![]);
+    }
+    assert!(matches!(b.answered()[..], [(1, Answer::Refused(_))]), "it never ran, so it may be refused");
+}
+
+/// Guards against an attempt that is waited for past its deadline; a write that may have run is not refused.
+#[test]
+fn an_attempt_without_an_answer_times_out_and_its_request_is_answered() {
+    let mut b = Bench::new(4);
+    let inputs = vec![b.request(ask(1)), b.request(Ask { class: 2, ..ask(2) })];
+    assert_eq!(sent(&b.turn(0, inputs)).len(), 2);
+    let effects = b.turn(2_000_000, vec![]);
+    assert_eq!(closed(&effects).len(), 2);
+    let mut answers = b.answered();
+    answers.sort_by_key(|(id, _)| *id);
+    assert!(matches!(answers[..], [(1, Answer::Refused(_)), (2, Answer::Failed)]), "{answers:?}");
+    assert_eq!(b.planner.load(), (0, 0, 0));
+}
