Bound the bodies held for one client; parse discovery's lists where they lie

A client could have 1,024 commands of 64 KiB waiting, 64 MiB of the 192: at fault Client::full in src/wire/resp.rs, which counted commands only. It counts the bytes of bodies, too, 1 MiB at most, and what is beyond stays unread. discovery::decode copied each body before parsing; only chunked ones are copied now.

While so much is owed that a client is not read, its leaving shows only once an answer has gone out.

--- a/src/wire/discovery.rs
+++ b/src/wire/discovery.rs
@@ -5,6 +5,7 @@
 use crate::state::planner::Member;
 use bytes::BytesMut;
 use serde::Deserialize;
+use std::borrow::Cow;
 use std::collections::BTreeMap;
 
 /// Most bytes of a response: thousands of nodes.
@@ -148,20 +149,25 @@
         Some(_) => return Err(Broken("bad content-length")),
         None => Body::Length(0),
     };
-    let (text, end) = match body {
-        Body::Length(length) if read.len() < start + length => return Ok(None),
-        Body::Length(length) => (read[start..start + length].to_vec(), start + length),
-        Body::Chunked => match chunks(&read[start..])? {
-            None => return Ok(None),
-            Some((text, used)) => (text, start + used),
-        },
+    let (response, end) = {
+        let (text, end) = match body {
+            Body::Length(length) if read.len() < start + length => return Ok(None),
+            Body::Length(length) => (Cow::Borrowed(&read[start..start + length]), start + length),
+            Body::Chunked => match chunks(&read[start..])? {
+                None => return Ok(None),
+                Some((text, used)) => (Cow::Owned(text), start + used),
+            },
+        };
+        match status {
+            200 => match serde_json::from_slice(&text) {
+                Ok(listing) => (Response::Listing(listing), end),
+                Err(_) => return Err(Broken("not a list of nodes")),
+            },
+            status => (Response::Status(status), end),
+        }
     };
     let _ = read.split_to(end);
-    if status != 200 {
-        return Ok(Some((Response::Status(status), keep)));
-    }
-    let listing = serde_json::from_slice(&text).map_err(|_| Broken("not a list of nodes"))?;
-    Ok(Some((Response::Listing(listing), keep)))
+    Ok(Some((response, keep)))
 }
 
 /// The text of a chunked body and how many bytes it took; nothing while it is not whole.
--- a/src/wire/resp.rs
+++ b/src/wire/resp.rs
@@ -26,6 +26,8 @@
 const MOST_DEPTH: u8 = 2;
 /// Commands of one client that may wait for their answers.
 const MOST_SLOTS: usize = 1024;
+/// Bytes of their bodies that may be held at once.
+const MOST_HELD: usize = 1 << 20;
 /// Taken off a client's deadline: what its request needed to get here and what the answer will, 0.7 to 1.3 ms
 /// each way, and how late timers run, up to 3 ms. An answer given at the deadline must find the client there.
 const TRANSIT: Time = 6_000;
@@ -209,7 +211,7 @@
 
 /// What a client has asked for.
 enum Asked {
-    Request(RequestId),
+    Request(RequestId, usize),
     /// Answered without a node.
     Line(&'static [u8]),
     Quit,
@@ -217,7 +219,8 @@
 
 /// What is still to be answered, in the order of the commands.
 enum Slot {
-    Owed(RequestId),
+    /// The request, and the bytes of its body.
+    Owed(RequestId, usize),
     Ready(Vec<Bytes>),
 }
 
@@ -226,6 +229,7 @@
     names: Rc<Names>,
     numbers: Numbers,
     slots: VecDeque<Slot>,
+    held: usize,
     outbox: Outbox,
     ending: bool,
 }
@@ -233,7 +237,7 @@
 impl Client {
     /// A session of a client that has just connected.
     pub fn new(names: Rc<Names>, numbers: Numbers) -> Self {
-        Client { names, numbers, slots: VecDeque::new(), outbox: Outbox::default(), ending: false }
+        Client { names, numbers, slots: VecDeque::new(), held: 0, outbox: Outbox::default(), ending: false }
     }
 
     fn command(
@@ -252,9 +256,9 @@
         let is = |name: &str| verb.eq_ignore_ascii_case(name.as_bytes());
         if is("OBJ.GET") || is("OBJ.PUT") {
             let (arrival, command) = self.request(now, words, is("OBJ.PUT"))?;
-            let id = arrival.id;
+            let (id, held) = (arrival.id, command.body.as_ref().map_or(0, Bytes::len));
             asks.push((arrival, command));
-            return Ok(Asked::Request(id));
+            return Ok(Asked::Request(id, held));
         }
         match () {
             () if is("PING") => Ok(Asked::Line(b"+PONG\r\n")),
@@ -320,7 +324,8 @@
 
 impl Session<Resp> for Client {
     fn receive(&mut self, now: Time, read: &mut BytesMut, asks: &mut Vec<(Arrival, Command)>) {
-        while !self.ending {
+        // Over the limit the rest waits in the buffer; `answer` makes room and the driver asks again.
+        while !self.ending && !self.full() {
             let asked = match decode(read) {
                 Ok(None) => break,
                 Ok(Some(value)) => self.command(now, value, asks),
@@ -331,7 +336,10 @@
                 }
             };
             match asked {
-                Ok(Asked::Request(id)) => self.slots.push_back(Slot::Owed(id)),
+                Ok(Asked::Request(id, held)) => {
+                    self.held += held;
+                    self.slots.push_back(Slot::Owed(id, held));
+                }
                 Ok(Asked::Quit) => {
                     self.ending = true;
                     self.ready(b"+OK\r\n");
@@ -351,9 +359,11 @@
             Answer::Refused(_) => vec![Bytes::from_static(b"-BUSY\r\n")],
             Answer::Failed => vec![Bytes::from_static(b"-ERR failed\r\n")],
         };
-        let owed = |slot: &&mut Slot| matches!(slot, Slot::Owed(owed) if *owed == id);
+        let owed = |slot: &&mut Slot| matches!(slot, Slot::Owed(owed, _) if *owed == id);
         if let Some(slot) = self.slots.iter_mut().find(owed) {
-            *slot = Slot::Ready(parts);
+            if let Slot::Owed(_, held) = std::mem::replace(slot, Slot::Ready(parts)) {
+                self.held -= held;
+            }
         }
         self.flush();
     }
@@ -363,12 +373,12 @@
     }
 
     fn owed(&self) -> Vec<RequestId> {
-        let owed = |slot: &Slot| if let Slot::Owed(id) = slot { Some(*id) } else { None };
+        let owed = |slot: &Slot| if let Slot::Owed(id, _) = slot { Some(*id) } else { None };
         self.slots.iter().filter_map(owed).collect()
     }
 
     fn full(&self) -> bool {
-        self.slots.len() >= MOST_SLOTS
+        self.slots.len() >= MOST_SLOTS || self.held >= MOST_HELD
     }
 
     fn ending(&self) -> bool {
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -403,3 +403,20 @@
     };
     assert!(says(1 | 4).is_err() && says(1 | 2).is_ok() && says(1 | 256).is_ok());
 }
+
+/// Guards the memory: a client that sends on and on without its answers is not read on without end.
+#[test]
+fn what_is_owed_to_a_resp_client_is_bounded() {
+    let body = "b".repeat(64 * 1024);
+    let put = format!(
+        "*5\r\n$7\r\nOBJ.PUT\r\n$2\r\n7f\r\n$2\r\n9b\r\n${}\r\n{FIELDS}\r\n$65536\r\n{body}\r\n",
+        FIELDS.len()
+    );
+    let (mut client, mut asks) = (resp_client(), Vec::new());
+    let mut read = BytesMut::from(put.repeat(20).as_bytes());
+    client.receive(0, &mut read, &mut asks);
+    assert_eq!((asks.len(), client.full()), (16, true));
+    client.answer(asks[3].0.id, Answer::Failed);
+    client.receive(0, &mut read, &mut asks);
+    assert_eq!((asks.len(), client.owed().len()), (17, 16));
+}
