Follow discovery to its new address on SIGHUP instead of ending

Exit 129 is the default action of SIGHUP: src/run/nbd.rs had the only handler, and the NBD front is off on the platform.

Checked: the log ends at the signal, no panic.

Change: handlers are set before anything else; SIGHUP reads the whole file and hands discovery's address to the watch, which drops its call and goes on from the same version at the new address. A file that cannot be read changes nothing and is logged.

Conclusion: the crash is gone.

--- a/src/run/config.rs
+++ b/src/run/config.rs
@@ -63,6 +63,8 @@
 
 /// All that a broker is told.
 pub struct Config {
+    /// The file that most of it was read from.
+    pub path: String,
     /// Its name.
     pub name: String,
     /// Where clients connect.
@@ -86,14 +88,30 @@
     std::fs::read_to_string(path).map_err(|error| ConfigError::File { path: path.to_string(), error })
 }
 
+impl File {
+    /// Reads the file, and the settings in it.
+    fn read(path: &str) -> Result<(Self, Start), ConfigError> {
+        let content = |reason: String| ConfigError::Content { path: path.to_string(), reason };
+        let file: File = serde_json::from_str(&read_file(path)?).map_err(|e| content(e.to_string()))?;
+        let start = settings::from_json(&file.settings).map_err(content)?;
+        Ok((file, start))
+    }
+}
+
+/// Reads the file anew and gives discovery's address, the one thing that may change while the broker runs.
+/// The file must be whole: of half a file nothing is taken. Here it comes before the environment, which
+/// cannot be changed from outside.
+pub fn reread(path: &str) -> Result<Option<String>, ConfigError> {
+    File::read(path).map(|(file, _)| file.discovery)
+}
+
 impl Config {
     /// Reads the environment, whose variables come before what the file says.
     pub fn from_env(var: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
         let path = var("RELAY_CONFIG").ok_or(ConfigError::Missing("RELAY_CONFIG"))?;
-        let content = |reason: String| ConfigError::Content { path: path.clone(), reason };
-        let file: File = serde_json::from_str(&read_file(&path)?).map_err(|e| content(e.to_string()))?;
-        let start = settings::from_json(&file.settings).map_err(content)?;
+        let (file, start) = File::read(&path)?;
         Ok(Config {
+            path,
             name: var("RELAY_NAME").or(file.name).unwrap_or_default(),
             listen: var("RELAY_LISTEN").or(file.listen).ok_or(ConfigError::Missing("RELAY_LISTEN"))?,
             discovery: var("RELAY_DISCOVERY")
--- a/src/run/start.rs
+++ b/src/run/start.rs
@@ -2,7 +2,7 @@
 
 use super::catalogue::Deploy;
 use super::clock::{Clock, Pulse};
-use super::config::{Config, ConfigError};
+use super::config::{reread, Config, ConfigError};
 use super::fleet::Fleet;
 use super::limits::{Limits, Seats};
 use super::nbd;
@@ -17,7 +17,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
 use tokio::sync::watch;
 
@@ -111,8 +111,27 @@
     }
 }
 
+/// Reads the configuration anew at each SIGHUP and tells where discovery is now. A file that cannot be used
+/// changes nothing.
+async fn follow(mut hangup: Signal, path: String, discovery: watch::Sender<String>) {
+    while hangup.recv().await.is_some() {
+        match reread(&path) {
+            Ok(new) => {
+                let new = new.unwrap_or_else(|| discovery.borrow().clone());
+                tracing::info!(discovery = new, "configuration read anew");
+                discovery.send_if_modified(|old| std::mem::replace(old, new.clone()) != new);
+            }
+            Err(error) => tracing::error!(%error, "configuration not taken"),
+        }
+    }
+}
+
 /// Runs a broker until it has stopped. Must run inside a [`tokio::task::LocalSet`].
 pub async fn run(config: Config) -> Result<(), StartError> {
+    // Signals first: one that comes before its handler ends the program.
+    let mut term = signal(SignalKind::terminate()).map_err(io("SIGTERM"))?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(io("SIGINT"))?;
+    let hangup = signal(SignalKind::hangup()).map_err(io("SIGHUP"))?;
     let clock = Clock::system();
     let deploy = Deploy::load(&config.nbd_file)?;
     let nbd_on = deploy.as_ref().is_some_and(|d| d.listen.is_some());
@@ -124,8 +143,6 @@
         multiplex: bounds.multiplex,
         idle: bounds.conn_idle * 3 / 5,
     };
-    let mut term = signal(SignalKind::terminate()).map_err(io("SIGTERM"))?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(io("SIGINT"))?;
     let (stop, stopping) = watch::channel(false);
     let seats = Seats::default();
     let pulse = Pulse::new(clock);
@@ -150,8 +167,9 @@
     };
     tokio::task::spawn_local(fleet.run(|_| Node::default()));
     let zones = config.start.zones;
-    let watcher =
-        WatchTask { address: config.discovery, revision, numbers, zones, wishes, planner: own.clone() };
+    let (moved, address) = watch::channel(config.discovery);
+    tokio::task::spawn_local(follow(hangup, config.path, moved));
+    let watcher = WatchTask { address, revision, numbers, zones, wishes, planner: own.clone() };
     tokio::task::spawn_local(watcher.run());
 
     let front = Front {
--- a/src/wire/watch.rs
+++ b/src/wire/watch.rs
@@ -8,6 +8,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
+use tokio::sync::watch;
 
 /// How long a watch waits for news. A silent discovery is noticed after this and `PATIENCE`.
 const WAIT_MS: u64 = 8_000;
@@ -18,8 +19,8 @@
 
 /// Where discovery is and whom it is watched for.
 pub struct WatchTask<W: Wire> {
-    /// Discovery's address.
-    pub address: String,
+    /// Discovery's address; it may move while it is watched.
+    pub address: watch::Receiver<String>,
     /// Version of the list that is known.
     pub revision: u64,
     /// Numbers of the nodes.
@@ -33,9 +34,14 @@
 }
 
 impl<W: Wire> WatchTask<W> {
-    /// Watches whenever the planner asks to, until a call fails; then it is the planner's to ask anew.
+    /// Watches whenever the planner asks to, until a call fails; then it is the planner's to ask anew, unless
+    /// discovery moves before: what failed at the old address tells nothing of the new one.
     pub async fn run(mut self) {
-        while self.wishes.recv().await.is_some() {
+        loop {
+            tokio::select! {
+                wish = self.wishes.recv() => if wish.is_none() { return },
+                moved = self.address.changed() => if moved.is_err() { return },
+            }
             let reason = self.watch().await;
             while self.wishes.try_recv().is_ok() {}
             tracing::warn!(reason, "list of nodes lost");
@@ -49,7 +55,16 @@
     async fn watch(&mut self) -> String {
         let mut stream = None;
         loop {
-            match self.call(&mut stream).await {
+            let address = self.address.borrow_and_update().clone();
+            let answer = tokio::select! {
+                answer = call(&address, self.revision, &mut stream) => answer,
+                Ok(()) = self.address.changed() => {
+                    // The version holds at the new address, too: nothing that was told is asked for again.
+                    stream = None;
+                    continue;
+                }
+            };
+            match answer {
                 Err(reason) => return reason,
                 Ok(Response::Status(status)) => return format!("status {status}"),
                 Ok(Response::Listing(listing)) => {
@@ -71,32 +86,32 @@
             }
         }
     }
+}
 
-    async fn call(&self, kept: &mut Option<TcpStream>) -> Result<Response, String> {
-        let mut stream = match kept.take() {
-            Some(stream) => stream,
-            None => tokio::time::timeout(CONNECT, TcpStream::connect(&self.address))
-                .await
-                .map_err(|_| "connecting timed out".to_string())?
-                .map_err(|e| e.to_string())?,
-        };
-        let talk = async {
-            let call = discovery::watch_call(&self.address, self.revision, WAIT_MS);
-            stream.write_all(call.as_bytes()).await.map_err(|e| e.to_string())?;
-            let mut read = BytesMut::with_capacity(4096);
-            loop {
-                if stream.read_buf(&mut read).await.map_err(|e| e.to_string())? == 0 {
-                    return Err("closed by discovery".to_string());
-                }
-                if let Some(answer) = discovery::decode(&mut read).map_err(|e| e.to_string())? {
-                    return Ok(answer);
-                }
+/// One call, on the connection that is kept or a new one.
+async fn call(address: &str, revision: u64, kept: &mut Option<TcpStream>) -> Result<Response, String> {
+    let mut stream = match kept.take() {
+        Some(stream) => stream,
+        None => tokio::time::timeout(CONNECT, TcpStream::connect(address))
+            .await
+            .map_err(|_| "connecting timed out".to_string())?
+            .map_err(|e| e.to_string())?,
+    };
+    let talk = async {
+        let call = discovery::watch_call(address, revision, WAIT_MS);
+        stream.write_all(call.as_bytes()).await.map_err(|e| e.to_string())?;
+        let mut read = BytesMut::with_capacity(4096);
+        loop {
+            if stream.read_buf(&mut read).await.map_err(|e| e.to_string())? == 0 {
+                return Err("closed by discovery".to_string());
             }
-        };
-        let limit = Duration::from_millis(WAIT_MS) + PATIENCE;
-        let (response, keep) =
-            tokio::time::timeout(limit, talk).await.map_err(|_| "silent".to_string())??;
-        *kept = Some(stream).filter(|_| keep);
-        Ok(response)
-    }
+            if let Some(answer) = discovery::decode(&mut read).map_err(|e| e.to_string())? {
+                return Ok(answer);
+            }
+        }
+    };
+    let limit = Duration::from_millis(WAIT_MS) + PATIENCE;
+    let (response, keep) = tokio::time::timeout(limit, talk).await.map_err(|_| "silent".to_string())??;
+    *kept = Some(stream).filter(|_| keep);
+    Ok(response)
 }
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -37,6 +37,14 @@
     panic!("never came about: {what}");
 }
 
+/// A configuration with these settings.
+pub fn configuration(settings: &str, discovery: &str) -> String {
+    format!(
+        r#"{{"name":"test","seed":"07","discovery":"{discovery}","limits":{{"memory_mb":192,"sockets":256}},
+            "known":{{"revision":0,"complete":true,"members":[]}},"settings":{settings}}}"#
+    )
+}
+
 /// A broker of its own folder; killed when dropped.
 pub struct Broker {
     pub child: Child,
@@ -56,11 +64,8 @@
         let folder = std::env::temp_dir().join(format!("claywinch-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
         let (listen, nbd_listen) = (free_address(), free_address());
-        let config = format!(
-            r#"{{"name":"{name}","seed":"07","limits":{{"memory_mb":192,"sockets":256}},
-                "known":{{"revision":0,"complete":true,"members":[]}},"settings":{settings}}}"#
-        );
-        std::fs::write(folder.join("config.json"), config).expect("a configuration");
+        std::fs::write(folder.join("config.json"), configuration(settings, discovery))
+            .expect("a configuration");
         let nbd_file = folder.join("nbd.toml");
         if let Some(text) = nbd {
             std::fs::write(&nbd_file, format!("listen = \"{nbd_listen}\"\n{text}")).expect("a file");
@@ -80,6 +85,12 @@
         broker
     }
 
+    /// Puts another text in the place of the configuration and has it read.
+    pub fn reconfigure(&self, text: &str) {
+        std::fs::write(self.folder.join("config.json"), text).expect("a configuration");
+        self.signal("-HUP");
+    }
+
     /// Puts another NBD file in place and has it read.
     pub fn reload(&self, nbd: &str) {
         let text = format!("listen = \"{}\"\n{nbd}", self.nbd);
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -404,3 +404,43 @@
     assert_eq!(resp_verdict(&mut stream), Served);
     assert_eq!(script.lock().unwrap().seen, 1);
 }
+
+/// Guards against ending on SIGHUP, and against losing requests or nodes when discovery moves: what one file
+/// names is followed at once, a file that cannot be used changes nothing, and neither does SIGHUP while the
+/// broker stops.
+#[test]
+fn sighup_moves_discovery_and_an_unusable_file_changes_nothing() {
+    let (broker, mut resp, _) = rigs("reload");
+    let (script, address) = resp_node();
+    let first = member("s-00000001", &resp.address, 0, State::Ready);
+    let second = member("s-00000003", &address, 1, State::Ready);
+    let (moved, at) = Discovery::start(&first);
+    let lists = || broker.log().matches("list of nodes").count();
+    resp.script().lock().unwrap().next = vec![Manner::Hang];
+    resp.stream.write_all(resp_command(true).as_bytes()).unwrap();
+    until("the node has the request", || resp.script.lock().unwrap().next.is_empty());
+    let before = lists();
+    broker.reconfigure(&configuration(SETTINGS, &at));
+    moved.set(&format!("{first},{second}"));
+    until("the new address is watched", || lists() > before);
+    resp.stream.write_all(resp_command(false).replace("shard=0", "shard=1").as_bytes()).unwrap();
+    assert_eq!(resp_verdict(&mut resp.stream), Failed, "the write is still waited for until its time is up");
+    assert_eq!(resp_verdict(&mut resp.stream), Served);
+    assert_eq!(script.lock().unwrap().seen, 1, "the node that only the new address names has it");
+
+    for text in ["{", "{}", ""] {
+        broker.reconfigure(text);
+    }
+    until("they are not taken", || broker.log().contains("configuration not taken"));
+    let before = lists();
+    moved.set(&first);
+    until("the last address is still watched", || lists() > before);
+    assert_eq!(resp.ask(false, 1), [Served]);
+    resp.script().lock().unwrap().next = vec![Manner::Hang];
+    resp.stream.write_all(resp_command(true).as_bytes()).unwrap();
+    until("the node has the request", || resp.script.lock().unwrap().next.is_empty());
+    broker.signal("-TERM");
+    until("it stops", || broker.log().contains("stopping"));
+    broker.signal("-HUP");
+    assert_eq!(resp_verdict(&mut resp.stream), Failed, "what was taken is answered all the same");
+}
