Keep reads of its shard coming to a node that answers with errors

Ruled out: silence and refused connections (endings count none), drains, slowness.

Change: an error is an answer, so it is no strike; strikes are attempts left unanswered. New objects, which may go elsewhere, keep away from a node whose faults are above 15% of its lately ended attempts, since a write that may have run is lost. Each attempt and each request given up now has a line in the debug log.

Conclusion: beliefs about an erring node were too dark.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -44,8 +44,13 @@
 const SILENT_WAITS: f64 = 4.0;
 /// Time unheard, for each host that there is, after which late or spare work may try a slow node.
 const UNHEARD: Time = 1_000_000;
-/// Failures in a row, without a served answer between, that make a node unwell.
+/// Attempts in a row that the node did not answer at all which make it unwell.
 const STRIKES: u32 = 3;
+/// Part of its lately ended attempts that may have run without an answer to serve, beyond which a node gets
+/// no new objects while there are others: a write that may have run is lost.
+const FAULTY: f64 = 0.15;
+/// Attempts without a fault that a node is taken to have behind it: one fault alone tells little.
+const PRIOR_ATTEMPTS: f64 = 6.0;
 /// Time between the trials of an unwell node: recovery is seen this late.
 const TRIAL: Time = 500_000;
 /// First wait before asking for the list again after a failed call, doubled up to `LIST_LONGEST`.
@@ -154,6 +159,8 @@
     free_at: Time,
     pace: Pace,
     last_answer: Time,
+    /// Faults as waits, attempts as depths.
+    faults: Pace,
     strikes: u32,
     next_trial: Time,
     unwell: bool,
@@ -502,7 +509,10 @@
             .iter()
             .filter_map(|(_, node)| self.nodes.get(node))
             .filter(|n| !n.unwell && self.room(now, n, request))
-            .min_by_key(|n| n.frees(now, average) + (request.units * n.per_unit(now, average)) as Time)
+            .min_by_key(|n| {
+                let ends = n.frees(now, average) + (request.units * n.per_unit(now, average)) as Time;
+                (n.faulty(now), ends)
+            })
             .map(|n| n.entry.node)
     }
 
@@ -824,8 +834,9 @@
         }
     }
 
-    /// Judges a node by its answers. Guards against hangs, cut links, and nodes that fail fast: an unwell
-    /// node gets no new objects and one trial at a time, until it serves again.
+    /// Judges a node by its answers. Guards against hangs and cut links: an unwell node gets no new objects and
+    /// one trial at a time, until it answers again. One that returns errors is not shut out like that: nobody
+    /// else holds its shard, an error costs little and comes at once, and the next attempt may be served.
     fn judge(&mut self, now: Time, id: NodeId, acts: &mut Vec<Action>) {
         let average = self.average();
         let Some(node) = self.nodes.get_mut(&id) else { return };
@@ -896,17 +907,26 @@
             self.pace.add(now, wait, slot.depth);
             all.add(now, wait, slot.depth);
         }
-        if matches!(o.ending, Ending::Served | Ending::Full) {
+        if matches!(o.ending, Ending::Served | Ending::Error | Ending::Full) {
             self.last_answer = now;
         }
+        if !matches!(o.ending, Ending::Full | Ending::Unreachable | Ending::NotSent | Ending::Cancelled) {
+            self.faults.add(now, if o.ending == Ending::Served { 0.0 } else { 1.0 }, 1.0);
+        }
         match o.ending {
-            Ending::Served => self.strikes = 0,
-            Ending::Error | Ending::Reset | Ending::TimedOut => self.strikes += 1,
+            Ending::Served | Ending::Error => self.strikes = 0,
+            Ending::Reset | Ending::TimedOut => self.strikes += 1,
             Ending::Full | Ending::Unreachable => self.strikes += STRIKES,
             Ending::Cancelled | Ending::NotSent => {}
         }
     }
 
+    /// Whether too many attempts at the node have lately come to nothing, though they may have run.
+    fn faulty(&self, now: Time) -> bool {
+        let (faults, ended) = self.faults.faded(now);
+        faults > FAULTY * (ended + PRIOR_ATTEMPTS)
+    }
+
     /// Whether the node has work of this host and has answered nothing for longer than it ever pauses. Of a
     /// single attempt the answer may be lost; two tell more.
     fn silent(&self, now: Time, average: f64) -> bool {
--- a/src/state/planner.rs
+++ b/src/state/planner.rs
@@ -253,6 +253,8 @@
                 let open = Open { request: ask.request, back: ask.back, tries: 0 };
                 self.requests.insert(ask.arrival.id, open);
                 self.counts.taken += 1;
+                let Arrival { id, class, plan, shard, units, due, .. } = &ask.arrival;
+                tracing::debug!(id, class, plan, shard, units, left = due - now, "taken");
                 self.events.push(Event::Request(ask.arrival));
             }
             Input::Gone(id) => {
@@ -295,6 +297,8 @@
         self.deadlines.remove(attempt.until, Deadline::Attempt(tag));
         self.counts.endings[end.ending as usize] += 1;
         let (id, number) = tag;
+        let (waited, link) = (now - attempt.sent, attempt.link);
+        tracing::debug!(id, number, node = attempt.node, link, ending = ?end.ending, waited, "attempt");
         // The first served attempt is the final answer.
         if let Some(reply) = end.reply.filter(|_| end.ending == Ending::Served) {
             if let Some(open) = self.requests.remove(&id) {
@@ -389,6 +393,8 @@
 
     fn answer(&mut self, id: RequestId, answer: Answer<W::Reply>) {
         let Some(open) = self.requests.remove(&id) else { return };
+        let refused = matches!(answer, Answer::Refused(_));
+        tracing::debug!(id, tries = open.tries, refused, "given up");
         match answer {
             Answer::Refused(_) => self.counts.refused += 1,
             _ => self.counts.failed += 1,
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -71,6 +71,38 @@
     }
 }
 
+/// Guards against shutting out a node that returns errors but serves now and then: no other holds its shard.
+/// New objects, which may go anywhere, keep away until its faults have faded.
+#[test]
+fn a_node_that_errs_still_gets_reads_of_its_shard_and_no_new_objects() {
+    let mut s = Drive::new(Settings { budget: None, ..settings() });
+    s.nodes(&[(1, 0), (2, 1)]);
+    for id in 0..8 {
+        assert_eq!(sends(&s.request(ask(id))), [(id, 1)], "read {id}");
+        for attempt in 0..3 {
+            s.wait(2_000);
+            let again = s.ended(id, attempt, 1, Ending::Error, 2_000);
+            assert_eq!(sends(&again), [(id, 1)], "a safe read goes again at once");
+        }
+        s.served(id, 3, 1, 2_000);
+        let acts = s.request(Ask { shard: None, key: "k", class: 2, ..ask(100 + id) });
+        assert_eq!(sends(&acts), [(100 + id, 2)], "a write goes where it is served");
+        s.served(100 + id, 0, 2, 40_000);
+    }
+    s.wait(60_000_000);
+    let keys = ["a", "b", "c", "d", "e", "f", "g", "h"];
+    let nodes: Vec<NodeId> = (200..)
+        .zip(keys)
+        .flat_map(|(id, key)| {
+            let acts = s.request(Ask { shard: None, key, ..ask(id) });
+            s.served(id, 0, s.last_node, 2_000);
+            sends(&acts)
+        })
+        .map(|(_, node)| node)
+        .collect();
+    assert!(nodes.contains(&1), "what is long past counts no more: {nodes:?}");
+}
+
 #[test]
 fn a_hung_node_gets_single_trials_only_and_no_new_objects() {
     let mut s = Drive::new(settings());
