--- a/src/rules.rs
+++ b/src/rules.rs
@@ -834,9 +834,9 @@
         }
     }
 
-    /// Judges a node by its answers. Guards against hangs and cut links: an unwell node gets no new objects and
-    /// one trial at a time, until it answers again. One that returns errors is not shut out like that: nobody
-    /// else holds its shard, an error costs little and comes at once, and the next attempt may be served.
+    /// Judges a node by its answers. Guards against hangs and cut links: an unwell node gets no new objects
+    /// and one trial at a time, until it answers again. One that returns errors is not shut out like that:
+    /// nobody else holds its shard, an error costs little and comes at once, and the next may be served.
     fn judge(&mut self, now: Time, id: NodeId, acts: &mut Vec<Action>) {
         let average = self.average();
         let Some(node) = self.nodes.get_mut(&id) else { return };
