Check requests whole at the front and send clients away that have nothing open

Ids were never compared, and any verb went with any class (`request`, src/wire/resp.rs).

Ruled out: parsing of noise, endless lines, wrong, negative and huge lengths, 60 MB values: each got its error already.

Change: requests are checked against the settings before any state is made; ids that are open are known; bytes for open requests are bounded by the configured memory, beyond which -BUSY is said at once; one deadline per client in a sorted set of the front, swept by one task; the silent give way first when seats run out. The RESP2 sides are split as those of NBD are.

--- a/src/run/clock.rs
+++ b/src/run/clock.rs
@@ -61,6 +61,11 @@
         }
     }
 
+    /// The time now.
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
     /// The earliest time at which something may have come that is read now.
     pub fn came(&self) -> Time {
         came(self.clock.now(), self.last.get())
--- a/src/run/nbd.rs
+++ b/src/run/nbd.rs
@@ -6,7 +6,7 @@
 use super::limits::{Limits, Seats};
 use super::peers::Peers;
 use super::settings::Bounds;
-use super::start::{listen, Front, StartError};
+use super::start::{listen, sweep, Front, StartError};
 use crate::interface::ListKind;
 use crate::state::agreement::Agreement;
 use crate::state::planner::{Input, Planner};
@@ -111,6 +111,7 @@
         most: place.limits.clients,
         stopping: place.stopping,
     };
+    tokio::task::spawn_local(sweep(seats.clone(), place.clock));
     let ids = Numbers::default();
     let accepting = tokio::task::spawn_local(front.accept(move || Client::new(exports.clone(), ids.clone())));
     let mut hangup =
--- a/src/run/settings.rs
+++ b/src/run/settings.rs
@@ -14,6 +14,12 @@
     pub plans: Vec<String>,
     /// Names of the zones, in order.
     pub zones: Vec<String>,
+    /// How long clients of each class wait in all; where the settings do not tell, what is sure to be enough.
+    pub deadlines: Vec<Time>,
+    /// Whether requests of each class write, where the settings tell.
+    pub writes: Vec<Option<bool>>,
+    /// Number of shards, where the settings tell.
+    pub shards: Option<u32>,
     /// What the sockets of a real broker are bound by.
     pub bounds: Bounds,
 }
@@ -36,6 +42,9 @@
     }
 }
 
+/// A client's whole time where the settings name none.
+const LONGEST_DEADLINE: f64 = 60.0;
+
 /// Seconds to the scheduler's unit of time.
 pub fn micros(seconds: f64) -> Time {
     (seconds * 1e6).round() as Time
@@ -156,6 +165,11 @@
     let named = |list: &[At]| -> Result<Vec<String>, String> {
         list.iter().map(|v| Ok(v.need("name")?.text()?.to_string())).collect()
     };
+    let deadline = |v: &At| Ok(micros(v.find("deadline_s").map_or(Ok(LONGEST_DEADLINE), |v| v.number())?));
+    let writes = match extra.find("writes") {
+        None => vec![None; classes.len()],
+        Some(list) => list.list()?.iter().map(|v| v.flag().map(Some)).collect::<Result<_, String>>()?,
+    };
     let mode = at.need("registry_mode")?;
     let budget = match rules.find("extra_ratio") {
         None => None,
@@ -169,6 +183,9 @@
         classes: named(&classes)?,
         plans: named(&plans)?,
         zones: names(&at.need("localities")?)?,
+        deadlines: classes.iter().map(deadline).collect::<Result<_, String>>()?,
+        writes,
+        shards: extra.find("n_shards").map(|v| v.count()).transpose()?,
         bounds: connections(&bounds)?,
         settings: Settings {
             hosts: at.need("balancers")?.count()?,
--- a/src/run/start.rs
+++ b/src/run/start.rs
@@ -4,18 +4,21 @@
 use super::clock::{Clock, Pulse};
 use super::config::{reread, Config, ConfigError};
 use super::fleet::Fleet;
-use super::limits::{Limits, Seats};
+use super::limits::{Limits, Room, Seats};
 use super::nbd;
+use super::settings::Start;
 use crate::interface::{ListKind, SettingsError};
 use crate::state::agreement::AgreementError;
 use crate::state::planner::{Input, Planner, Wire};
 use crate::state::pool::PoolLimits;
 use crate::wire::discovery::NodeNumbers;
-use crate::wire::resp::{Client, Names, Node, Resp};
-use crate::wire::session::{serve, Numbers, Session};
+use crate::wire::resp::client::Node;
+use crate::wire::resp::server::{ClassTerms, Client, Common, Terms};
+use crate::wire::resp::Resp;
+use crate::wire::session::{serve, Session};
 use crate::wire::watch::WatchTask;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
@@ -27,8 +30,12 @@
 const STILL_ACCEPTING: Duration = Duration::from_millis(500);
 /// How long the last answers may take: longer than any client waits.
 const LAST_ANSWERS: Duration = Duration::from_secs(60);
-/// How long to wait when descriptors have run out.
-const OUT_OF_DESCRIPTORS: Duration = Duration::from_millis(5);
+/// How long to wait when descriptors or seats have run out.
+const FULL_HOUSE: Duration = Duration::from_millis(2);
+/// How often the log says that connections cannot be taken.
+const SAID_AGAIN: Duration = Duration::from_secs(1);
+/// How often the deadlines of clients are swept.
+const SWEEP: Duration = Duration::from_millis(20);
 
 /// Why a broker could not start or go on.
 #[derive(Debug, thiserror::Error)]
@@ -79,14 +86,38 @@
     pub stopping: watch::Receiver<bool>,
 }
 
+/// Sweeps the deadlines of a front's clients for good.
+pub(super) async fn sweep(seats: Seats, clock: Clock) {
+    loop {
+        tokio::time::sleep(SWEEP).await;
+        seats.sweep(clock.now());
+    }
+}
+
+/// What clients may ask for, by the settings.
+fn terms(start: &Start) -> Terms {
+    let class = |(i, name): (usize, &String)| ClassTerms {
+        name: name.clone(),
+        deadline: start.deadlines[i],
+        writes: start.writes.get(i).copied().flatten(),
+    };
+    Terms {
+        classes: start.classes.iter().enumerate().map(class).collect(),
+        plans: start.plans.clone(),
+        most_units: start.settings.most_units as u32,
+        shards: start.shards,
+    }
+}
+
 impl<W: Wire> Front<W> {
     /// Takes connections for good. What the kernel has accepted is owed an answer, so a full house asks a
     /// connection that is between requests to leave, rather than let new ones wait.
     pub async fn accept<S: Session<W>>(self, session: impl Fn() -> S) {
+        let mut said = None;
         loop {
             while self.seats.len() >= self.most {
-                self.seats.call_idle();
-                tokio::time::sleep(OUT_OF_DESCRIPTORS).await;
+                while self.seats.call_idle() {}
+                tokio::time::sleep(FULL_HOUSE).await;
             }
             match self.listener.accept().await {
                 Ok((stream, _)) => {
@@ -102,9 +133,12 @@
                     ));
                 }
                 Err(error) => {
-                    tracing::warn!(%error, clients = self.seats.len(), "cannot accept");
-                    self.seats.call_idle();
-                    tokio::time::sleep(OUT_OF_DESCRIPTORS).await;
+                    if said.is_none_or(|at: Instant| at.elapsed() > SAID_AGAIN) {
+                        said = Some(Instant::now());
+                        tracing::warn!(%error, clients = self.seats.len(), "cannot accept");
+                    }
+                    while self.seats.call_idle() {}
+                    tokio::time::sleep(FULL_HOUSE).await;
                 }
             }
         }
@@ -145,6 +179,7 @@
     };
     let (stop, stopping) = watch::channel(false);
     let seats = Seats::default();
+    let terms = terms(&config.start);
     let pulse = Pulse::new(clock);
     tokio::task::spawn_local(pulse.clone().run());
 
@@ -180,9 +215,9 @@
         most: limits.clients,
         stopping: stopping.clone(),
     };
-    let names = Rc::new(Names { classes: config.start.classes, plans: config.start.plans });
-    let ids = Numbers::default();
-    let accepting = tokio::task::spawn_local(front.accept(move || Client::new(names.clone(), ids.clone())));
+    let common = Rc::new(Common::new(terms, Room::new(limits.room)));
+    let accepting = tokio::task::spawn_local(front.accept(move || Client::new(common.clone())));
+    tokio::task::spawn_local(sweep(seats.clone(), clock));
     let nbd = match deploy.filter(|_| nbd_on) {
         None => None,
         Some(deploy) => {
--- a/src/wire/nbd/server.rs
+++ b/src/wire/nbd/server.rs
@@ -476,6 +476,10 @@
         !matches!(self.phase, Phase::Transmission(_))
     }
 
+    fn hurry(&mut self) {
+        self.phase = Phase::Over;
+    }
+
     fn stop(&mut self) {
         if matches!(self.phase, Phase::Options) {
             self.reply(option::GO, reply::SHUTDOWN, b"shutting down");
--- /dev/null
+++ b/src/wire/resp/server.rs
@@ -0,0 +1,332 @@
+//! The server's side of RESP2: a session with a client.
+
+use super::*;
+use crate::interface::{Arrival, RequestId};
+use crate::run::limits::Room;
+use crate::state::planner::Answer;
+use crate::wire::session::{Numbers, Session};
+use std::cell::RefCell;
+use std::collections::{BTreeSet, VecDeque};
+use std::rc::Rc;
+
+/// Commands of one client that may wait for their answers.
+const MOST_SLOTS: usize = 256;
+/// Bytes of their bodies that may be held at once.
+const MOST_HELD: usize = 1 << 20;
+/// What a request takes beside its body: its words here, its state with the planner and the scheduler.
+const REQUEST_BYTES: usize = 2 * 1024;
+/// Longest id of a request.
+const MOST_ID: usize = 64;
+/// Digits of a piece of data and of a volume.
+const HEX_DIGITS: usize = 16;
+/// How many times its class's whole time a client may say that it waits: more is a mistake, and would be
+/// kept for as long.
+const MOST_WAITS: Time = 2;
+/// Taken off a client's deadline: what its request needed to get here and what the answer will, 0.7 to 1.3 ms
+/// each way, and how late timers run, up to 3 ms. An answer given at the deadline must find the client there.
+/// It only ever brings an answer forward.
+const TRANSIT: Time = 6_000;
+
+/// What requests of a class may say.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ClassTerms {
+    /// Its name.
+    pub name: String,
+    /// How long its clients wait in all.
+    pub deadline: Time,
+    /// Whether its requests write; nothing where the settings leave it open.
+    pub writes: Option<bool>,
+}
+
+/// What requests may say, by the settings. Whatever else they say is no use to any node.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Terms {
+    /// The classes, in the order of the settings.
+    pub classes: Vec<ClassTerms>,
+    /// Names of the plans, in the order of the settings.
+    pub plans: Vec<String>,
+    /// Most units of a request.
+    pub most_units: u32,
+    /// Number of shards, where the settings tell.
+    pub shards: Option<u32>,
+}
+
+/// What the sessions of a front share.
+pub struct Common {
+    /// What requests may say.
+    pub terms: Terms,
+    /// Numbers for requests.
+    pub numbers: Numbers,
+    /// Room for what is open.
+    pub room: Room,
+    /// Ids of the requests that are open, by whatever client.
+    open: RefCell<BTreeSet<Box<[u8]>>>,
+}
+
+impl Common {
+    /// For sessions of which none has begun.
+    pub fn new(terms: Terms, room: Room) -> Self {
+        Common { terms, numbers: Numbers::default(), room, open: RefCell::default() }
+    }
+}
+
+/// A request that is still to be answered.
+struct Owed {
+    number: RequestId,
+    id: Box<[u8]>,
+    /// Bytes of its body.
+    body: usize,
+}
+
+/// What a client has asked for.
+enum Asked {
+    Request(Owed),
+    /// Answered without a node.
+    Line(&'static [u8]),
+    Quit,
+}
+
+/// What is still to be answered, in the order of the commands.
+enum Slot {
+    Owed(Owed),
+    Ready(Vec<Bytes>),
+}
+
+/// A client's session.
+pub struct Client {
+    common: Rc<Common>,
+    slots: VecDeque<Slot>,
+    held: usize,
+    outbox: Outbox,
+    ending: bool,
+}
+
+/// The error line for a command.
+type Wrong = &'static [u8];
+
+impl Client {
+    /// A session of a client that has just connected.
+    pub fn new(common: Rc<Common>) -> Self {
+        Client { common, slots: VecDeque::new(), held: 0, outbox: Outbox::default(), ending: false }
+    }
+
+    fn command(
+        &self,
+        now: Time,
+        value: Value,
+        asks: &mut Vec<(Arrival, Command)>,
+    ) -> Result<Asked, &'static [u8]> {
+        let Value::Array(Some(items)) = value else {
+            return Err(b"-ERR expected an array of bulk strings\r\n");
+        };
+        let words: Option<Vec<Bytes>> =
+            items.into_iter().map(|i| if let Value::Bulk(word) = i { word } else { None }).collect();
+        let Some(words) = words else { return Err(b"-ERR expected an array of bulk strings\r\n") };
+        let Some(verb) = words.first() else { return Err(b"-ERR empty command\r\n") };
+        let is = |name: &str| verb.eq_ignore_ascii_case(name.as_bytes());
+        match () {
+            () if is("OBJ.GET") => self.request(now, words, "OBJ.GET", asks),
+            () if is("OBJ.PUT") => self.request(now, words, "OBJ.PUT", asks),
+            () if is("PING") => Ok(Asked::Line(b"+PONG\r\n")),
+            () if is("CLIENT") || is("SELECT") => Ok(Asked::Line(b"+OK\r\n")),
+            () if is("QUIT") => Ok(Asked::Quit),
+            () => Err(b"-ERR unknown command\r\n"),
+        }
+    }
+
+    /// Takes a request that nodes can use; of any other nothing is kept.
+    fn request(
+        &self,
+        now: Time,
+        words: Vec<Bytes>,
+        verb: &'static str,
+        asks: &mut Vec<(Arrival, Command)>,
+    ) -> Result<Asked, Wrong> {
+        let put = verb == "OBJ.PUT";
+        if words.len() != 4 + usize::from(put) {
+            return Err(b"-ERR wrong number of arguments\r\n");
+        }
+        let mut words = words.into_iter().skip(1);
+        let mut next = || words.next().unwrap_or_default();
+        let (piece, id, list, body) = (next(), next(), next(), put.then(next));
+        if !is_hex(&piece) {
+            return Err(b"-ERR malformed piece\r\n");
+        }
+        if id.is_empty() || id.len() > MOST_ID || !id.iter().all(u8::is_ascii_graphic) {
+            return Err(b"-ERR malformed id\r\n");
+        }
+        let (mut arrival, deadline) = self.arrival(now, &list, put)?;
+        arrival.key = Some(String::from_utf8_lossy(&piece).into_owned());
+        let held = body.as_ref().map_or(0, Bytes::len);
+        // A copy, so that the set does not pin what was read.
+        let owed = Owed { number: arrival.id, id: id.as_ref().into(), body: held };
+        if self.common.open.borrow().contains(&owed.id) {
+            return Err(b"-ERR id of a request that is open\r\n");
+        }
+        if !self.common.room.take(REQUEST_BYTES + held) {
+            return Err(b"-BUSY\r\n"); // It was sent nowhere: trying again is harmless.
+        }
+        self.common.open.borrow_mut().insert(owed.id.clone());
+        asks.push((arrival, Command { verb, piece, id, fields: list, deadline, body }));
+        Ok(Asked::Request(owed))
+    }
+
+    /// What the list of a request says, all but its key, and where its deadline stands.
+    fn arrival(&self, now: Time, list: &Bytes, put: bool) -> Result<(Arrival, Range<usize>), Wrong> {
+        let terms = &self.common.terms;
+        let pairs = fields(list).ok_or(&b"-ERR malformed fields\r\n"[..])?;
+        let twice = |(i, (name, _)): (usize, &(&[u8], &[u8]))| pairs[..i].iter().any(|(n, _)| n == name);
+        if pairs.iter().enumerate().any(twice) {
+            return Err(b"-ERR a field stands twice\r\n");
+        }
+        let find = |name: &[u8]| pairs.iter().find(|(n, _)| *n == name).map(|(_, v)| *v);
+        let is = |name: &str, field: &[u8]| Some(name.as_bytes()) == find(field);
+        let class = terms.classes.iter().position(|c| is(&c.name, b"c"));
+        let class = class.ok_or(&b"-ERR unknown class\r\n"[..])?;
+        let of_class = &terms.classes[class];
+        if of_class.writes.is_some_and(|writes| writes != put) {
+            return Err(b"-ERR not a command of this class\r\n");
+        }
+        let plan = terms.plans.iter().position(|p| is(p, b"t")).ok_or(&b"-ERR unknown plan\r\n"[..])?;
+        let text = find(b"d").unwrap_or_default();
+        let wait = whole(text).map(|ms| Time::from(ms) * 1000);
+        let wait = wait.filter(|w| *w > 0 && *w <= of_class.deadline * MOST_WAITS);
+        let wait = wait.ok_or(&b"-ERR malformed d\r\n"[..])?;
+        let start = text.as_ptr() as usize - list.as_ptr() as usize;
+        let volume = find(b"volume").filter(|v| is_hex(v)).ok_or(&b"-ERR malformed volume\r\n"[..])?;
+        let units = find(b"units").and_then(whole).filter(|u| (1..=terms.most_units).contains(u));
+        let units = units.ok_or(&b"-ERR malformed units\r\n"[..])?;
+        let known = |n: &u32| terms.shards.is_none_or(|shards| *n < shards);
+        let shard = match find(b"shard") {
+            Some(b"-1") => None,
+            other => {
+                let shard = other.and_then(whole).filter(known);
+                Some(shard.ok_or(&b"-ERR malformed shard\r\n"[..])?)
+            }
+        };
+        let hosts = find(b"hosts").and_then(whole).filter(|h| *h > 0);
+        let arrival = Arrival {
+            id: self.common.numbers.next(),
+            class,
+            plan,
+            key: None,
+            due: now + wait - TRANSIT,
+            volume: String::from_utf8_lossy(volume).into_owned(),
+            units: f64::from(units),
+            shard,
+            volume_hosts: hosts.ok_or(&b"-ERR malformed hosts\r\n"[..])?,
+            repeat: find(b"r") == Some(b"1"),
+        };
+        Ok((arrival, start..start + text.len()))
+    }
+
+    /// Queues what is ready at the front: answers go in the order of the commands.
+    fn flush(&mut self) {
+        while let Some(Slot::Ready(_)) = self.slots.front() {
+            if let Some(Slot::Ready(parts)) = self.slots.pop_front() {
+                parts.into_iter().for_each(|part| self.outbox.push(part));
+            }
+        }
+    }
+
+    fn ready(&mut self, line: &'static [u8]) {
+        self.slots.push_back(Slot::Ready(vec![Bytes::from_static(line)]));
+    }
+
+    /// A request is no longer open.
+    fn forget(&mut self, owed: &Owed) {
+        self.held -= owed.body;
+        self.common.room.give_back(REQUEST_BYTES + owed.body);
+        self.common.open.borrow_mut().remove(&owed.id);
+    }
+}
+
+/// Sixteen digits, as pieces and volumes are named.
+fn is_hex(text: &[u8]) -> bool {
+    text.len() == HEX_DIGITS && text.iter().all(u8::is_ascii_hexdigit)
+}
+
+/// A number in digits alone: without a sign, as nodes read it.
+fn whole(text: &[u8]) -> Option<u32> {
+    number(text).filter(|_| text.iter().all(u8::is_ascii_digit))
+}
+
+impl Session<Resp> for Client {
+    fn receive(&mut self, now: Time, read: &mut BytesMut, asks: &mut Vec<(Arrival, Command)>) {
+        // Over the limit the rest waits in the buffer; `answer` makes room and the driver asks again.
+        while !self.ending && !self.full() {
+            let asked = match decode_command(read) {
+                Ok(None) => break,
+                Ok(Some(value)) => self.command(now, value, asks),
+                Err(_) => {
+                    // Where one command ends and the next begins is lost.
+                    self.ending = true;
+                    Err(&b"-ERR protocol error\r\n"[..])
+                }
+            };
+            match asked {
+                Ok(Asked::Request(owed)) => {
+                    self.held += owed.body;
+                    self.slots.push_back(Slot::Owed(owed));
+                }
+                Ok(Asked::Quit) => {
+                    self.ending = true;
+                    self.ready(b"+OK\r\n");
+                }
+                Ok(Asked::Line(line)) | Err(line) => self.ready(line),
+            }
+        }
+        self.flush();
+    }
+
+    fn answer(&mut self, number: RequestId, answer: Answer<Bytes>) {
+        let parts = match answer {
+            Answer::Served(value) => {
+                vec![format!("${}\r\n", value.len()).into(), value, Bytes::from_static(b"\r\n")]
+            }
+            Answer::Refused(after) if after > 0 => vec![format!("-BUSY {}\r\n", (after + 999) / 1000).into()],
+            Answer::Refused(_) => vec![Bytes::from_static(b"-BUSY\r\n")],
+            Answer::Failed => vec![Bytes::from_static(b"-ERR failed\r\n")],
+        };
+        let owed = |slot: &&mut Slot| matches!(slot, Slot::Owed(owed) if owed.number == number);
+        if let Some(slot) = self.slots.iter_mut().find(owed) {
+            if let Slot::Owed(owed) = std::mem::replace(slot, Slot::Ready(parts)) {
+                self.forget(&owed);
+            }
+        }
+        self.flush();
+    }
+
+    fn outbox(&mut self) -> &mut Outbox {
+        &mut self.outbox
+    }
+
+    fn owed(&self) -> Vec<RequestId> {
+        let owed = |slot: &Slot| if let Slot::Owed(owed) = slot { Some(owed.number) } else { None };
+        self.slots.iter().filter_map(owed).collect()
+    }
+
+    fn full(&self) -> bool {
+        self.slots.len() >= MOST_SLOTS || self.held >= MOST_HELD
+    }
+
+    fn ending(&self) -> bool {
+        self.ending
+    }
+
+    fn hurry(&mut self) {
+        self.ending = true;
+        self.ready(b"-ERR unfinished command\r\n");
+        self.flush();
+    }
+}
+
+impl Drop for Client {
+    fn drop(&mut self) {
+        for slot in std::mem::take(&mut self.slots) {
+            if let Slot::Owed(owed) = slot {
+                self.forget(&owed);
+            }
+        }
+    }
+}
--- a/src/wire/session.rs
+++ b/src/wire/session.rs
@@ -16,9 +16,18 @@
 /// Room for a read.
 const READ: usize = 8 * 1024;
 /// Answers of a client that does not read them wait up to this many bytes; then nothing more is taken.
-const MOST_UNREAD: u64 = 256 * 1024;
+const MOST_UNREAD: u64 = 64 * 1024;
 /// How long a closing connection is read on, so that the answers before its end are not lost to a reset.
 const LINGER: Duration = Duration::from_millis(200);
+/// How much is read meanwhile: one that goes on sending is not worth more.
+const MOST_LINGERED: usize = 128 * 1024;
+/// How long a connection may have nothing open, or a command unfinished.
+const PATIENCE: Time = 2_100_000;
+/// How long the first command may take from the moment of connecting: a client that sends nothing of use is
+/// told or sent away within 3 s.
+const FIRST_COMMAND: Time = 2_600_000;
+/// How long a client may leave its answers unread: no request waits longer.
+const UNREAD: Time = 5_000_000;
 
 /// Numbers for requests, shared by all fronts of a planner.
 #[derive(Debug, Clone, Default)]
@@ -51,10 +60,58 @@
     fn gives_way(&self) -> bool {
         true
     }
+    /// A command has been unfinished for too long: says so, where the protocol has words for it, and ends.
+    fn hurry(&mut self);
     /// The broker stops: says so, where the protocol has words for it.
     fn stop(&mut self) {}
 }
 
+/// What a connection has done lately, for its deadline.
+struct Pace {
+    accepted: Time,
+    /// A command has been whole.
+    used: bool,
+    /// When it was last of use: a command taken, or the last answer written.
+    since: Time,
+    /// When an unfinished command began.
+    begun: Option<Time>,
+    /// When answers that wait to be written last began to wait, or moved.
+    moved: Option<Time>,
+}
+
+impl Pace {
+    fn new(now: Time) -> Self {
+        Pace { accepted: now, used: false, since: now, begun: None, moved: None }
+    }
+
+    /// Takes note of what a read left of the buffer.
+    fn read(&mut self, now: Time, before: usize, after: usize) {
+        if after < before {
+            (self.used, self.since, self.begun) = (true, now, None);
+        }
+        if after > 0 && self.begun.is_none() {
+            self.begun = Some(now);
+        }
+    }
+
+    /// Takes note that something was written.
+    fn wrote(&mut self, now: Time) {
+        (self.since, self.moved) = (now, Some(now));
+    }
+
+    /// When the connection has had its time, if nothing of use happens before. It is `idle` while nothing is
+    /// owed on it; answers may be `waiting` to be written.
+    fn deadline(&mut self, now: Time, idle: bool, waiting: bool) -> Option<Time> {
+        if waiting {
+            return Some(*self.moved.get_or_insert(now) + UNREAD);
+        }
+        self.moved = None;
+        let first = self.accepted + FIRST_COMMAND;
+        let patient = self.begun.unwrap_or(self.since) + PATIENCE;
+        idle.then_some(if self.used { patient } else { patient.min(first) })
+    }
+}
+
 /// Carries one client connection until either side is done with it. When `stopping` turns true it is closed
 /// between requests.
 pub async fn serve<W: Wire, S: Session<W>>(
@@ -68,16 +125,33 @@
     let (back, mut answers) = unbounded_channel();
     let mut read = BytesMut::new();
     let mut asks = Vec::new();
+    let mut pace = Pace::new(pulse.now());
     let _ = stream.set_nodelay(true);
     loop {
-        let idle = session.owed().is_empty() && session.outbox().is_empty();
-        seat.set_idle(idle && session.gives_way());
-        let leave = session.ending() || *stopping.borrow() || seat.is_called();
-        if idle && leave {
-            close(stream).await;
+        let waiting = !session.outbox().is_empty();
+        let idle = session.owed().is_empty() && !waiting;
+        let gives_way = idle && session.gives_way();
+        let spoke = pace.used || pace.begun.is_some();
+        seat.set_idle(gives_way, spoke);
+        let deadline = pace.deadline(pulse.now(), gives_way, waiting);
+        let over = deadline.is_some_and(|at| at <= pulse.now());
+        if over && waiting {
+            break;
+        }
+        if over && pace.begun.take().is_some() && !session.ending() {
+            session.hurry();
+            continue;
+        }
+        // A command that has begun is waited for: its last byte may be on its way.
+        let wanted = (*stopping.borrow() || seat.is_called()) && pace.begun.is_none();
+        if idle && (session.ending() || over || wanted) {
+            // Of one that never said a word there is nothing to wait for.
+            if spoke {
+                close(stream).await;
+            }
             return;
         }
-        let waiting = !session.outbox().is_empty();
+        seat.set_deadline(deadline);
         let open = !session.ending() && !session.full() && session.outbox().len() < MOST_UNREAD;
         tokio::select! {
             biased;
@@ -88,14 +162,19 @@
                 }
                 // What was read but held back because too much was owed.
                 if !read.is_empty() && !session.full() {
+                    let before = read.len();
                     session.receive(pulse.came(), &mut read, &mut asks);
+                    pace.read(pulse.now(), before, read.len());
                     hand_over(&planner, &back, &mut asks);
                 }
             }
             ready = stream.writable(), if waiting => {
                 let outbox = session.outbox();
                 match ready.and_then(|()| stream.try_write_vectored(&outbox.slices())) {
-                    Ok(n) => outbox.wrote(n),
+                    Ok(n) => {
+                        outbox.wrote(n);
+                        pace.wrote(pulse.now());
+                    }
                     Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
                     Err(_) => break,
                 }
@@ -108,11 +187,13 @@
                     Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => continue,
                     Err(_) => break,
                 }
+                let before = read.len();
                 session.receive(pulse.came(), &mut read, &mut asks);
+                pace.read(pulse.now(), before, read.len());
                 hand_over(&planner, &back, &mut asks);
             }
             _ = stopping.changed(), if !*stopping.borrow() => session.stop(),
-            () = seat.called(), if idle => {}
+            () = seat.called() => {}
         }
     }
     // The client is gone; what it was owed is nobody's any more.
@@ -134,10 +215,55 @@
 /// Ends a connection so that what was written arrives: closing a socket with unread bytes would reset it.
 async fn close(mut stream: TcpStream) {
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
-    let mut rest = [0; 512];
+    let mut rest = [0; 4096];
     let drained = async {
         let _ = stream.shutdown().await;
-        while stream.read(&mut rest).await.is_ok_and(|n| n > 0) {}
+        let mut left = MOST_LINGERED;
+        while let Ok(n @ 1..) = stream.read(&mut rest).await {
+            left = left.saturating_sub(n);
+            if left == 0 {
+                return;
+            }
+        }
     };
     let _ = tokio::time::timeout(LINGER, drained).await;
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const S: Time = 1_000_000;
+
+    #[test]
+    fn a_client_has_so_long_for_its_first_command_and_between_commands() {
+        let mut pace = Pace::new(10 * S);
+        let silent = pace.deadline(10 * S, true, false).expect("a deadline");
+        assert!(silent > 12 * S && silent < 13 * S, "{silent}");
+        // It drips its first command: the time is not drawn out.
+        for (at, before, after) in [(11 * S, 0, 1), (12 * S, 1, 2)] {
+            pace.read(at, after, after.max(before));
+        }
+        let dripping = pace.deadline(12 * S, true, false).expect("a deadline");
+        assert!(dripping < 13 * S, "{dripping}");
+        pace.read(12 * S, 3, 0);
+        assert_eq!(pace.deadline(12 * S, false, false), None, "never while a request is open");
+        pace.wrote(20 * S);
+        assert!(pace.deadline(20 * S, true, false) > Some(22 * S));
+        // The next command begins late and is waited for.
+        pace.read(22 * S, 1, 1);
+        assert!(pace.deadline(22 * S, true, false) > Some(24 * S));
+    }
+
+    #[test]
+    fn answers_may_wait_for_a_client_that_reads_them_slowly_but_not_for_good() {
+        let mut pace = Pace::new(0);
+        // The first answer comes long after the last write: its own time begins when it is there.
+        assert_eq!(pace.deadline(60 * S, false, true), Some(60 * S + UNREAD));
+        assert_eq!(pace.deadline(62 * S, false, true), Some(60 * S + UNREAD));
+        pace.wrote(63 * S);
+        assert_eq!(pace.deadline(63 * S, false, true), Some(63 * S + UNREAD));
+        assert_eq!(pace.deadline(64 * S, false, false), None);
+        assert_eq!(pace.deadline(99 * S, false, true), Some(99 * S + UNREAD));
+    }
+}
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -4,11 +4,13 @@
 
 use bytes::BytesMut;
 use claywinch::interface::{Arrival, Ending};
+use claywinch::run::limits::Room;
 use claywinch::state::planner::{Answer, End};
 use claywinch::wire::link::{Broken, Exchange};
 use claywinch::wire::nbd::server::{Catalogue, Client as NbdClient, Export, Exports, Kind};
 use claywinch::wire::nbd::{client::Node as NbdNode, Operation, Part, Request};
-use claywinch::wire::resp::{Client, Names, Node};
+use claywinch::wire::resp::client::Node;
+use claywinch::wire::resp::server::{ClassTerms, Client, Common, Terms};
 use claywinch::wire::session::{Numbers, Session};
 use claywinch::wire::{discovery, resp};
 use common::parse::check;
@@ -37,43 +39,68 @@
     bytes
 }
 
+/// What RESP2 sessions share, with room for so many bytes.
+fn resp_common(room: usize) -> Rc<Common> {
+    let class = |name: &str, writes| ClassTerms { name: name.into(), deadline: 500_000, writes };
+    let classes = vec![class("read", Some(false)), class("write", Some(true)), class("both", None)];
+    let terms = Terms { classes, plans: vec!["gold".into()], most_units: 6, shards: Some(9) };
+    Rc::new(Common::new(terms, Room::new(room)))
+}
+
 fn resp_client() -> Client {
-    let names = Names { classes: vec!["read".into(), "write".into()], plans: vec!["gold".into()] };
-    Client::new(Rc::new(names), Numbers::default())
+    Client::new(resp_common(1 << 30))
 }
 
 const FIELDS: &str = "c=read,t=gold,d=480,volume=00000003b4d60021,units=2,shard=5,hosts=3";
 
-fn get(fields: &str) -> String {
-    format!("*4\r\n$7\r\nOBJ.GET\r\n$2\r\n7f\r\n$2\r\n9b\r\n${}\r\n{fields}\r\n", fields.len())
+fn get(id: &str, fields: &str) -> String {
+    format!(
+        "*4\r\n$7\r\nOBJ.GET\r\n$16\r\n7f3a9c21e0b4d655\r\n${}\r\n{id}\r\n${}\r\n{fields}\r\n",
+        id.len(),
+        fields.len()
+    )
+}
+
+fn put(id: &str, fields: &str, body: &str) -> String {
+    let head = get(id, fields).replace("*4", "*5").replace("GET", "PUT");
+    format!("{head}${}\r\n{body}\r\n", body.len())
+}
+
+/// What a session says to a text, and how many requests it takes from it.
+fn said(client: &mut Client, text: &str) -> (String, usize) {
+    let mut asks = Vec::new();
+    client.receive(0, &mut BytesMut::from(text.as_bytes()), &mut asks);
+    (String::from_utf8(written(client.outbox())).unwrap(), asks.len())
 }
 
 #[test]
 fn resp_survives_cuts_and_garbage() {
-    let valid = format!("{}*1\r\n$4\r\nPING\r\n*2\r\n*1\r\n:-5\r\n$-1\r\n+a\r\n-b c\r\n*-1\r\n", get(FIELDS));
+    let commands = format!("{}*1\r\n$4\r\nPING\r\n{}", get("9b", FIELDS), put("9c", FIELDS, "body"));
+    check(commands.as_bytes(), || drain(resp::decode_command));
+    let valid = format!("{commands}*2\r\n*1\r\n:-5\r\n$-1\r\n+a\r\n-b c\r\n*-1\r\n");
     check(valid.as_bytes(), || drain(resp::decode));
 }
 
 #[test]
 fn a_get_is_passed_on_with_the_time_that_is_left() {
     let (mut client, mut asks) = (resp_client(), Vec::new());
-    client.receive(1_000_000, &mut BytesMut::from(get(FIELDS).as_bytes()), &mut asks);
+    client.receive(1_000_000, &mut BytesMut::from(get("9b", FIELDS).as_bytes()), &mut asks);
     let (arrival, command): (Arrival, _) = asks.remove(0);
     assert_eq!((arrival.class, arrival.plan, arrival.units, arrival.shard), (0, 0, 2.0, Some(5)));
     assert!(arrival.due > 1_400_000 && arrival.due < 1_480_000, "{}", arrival.due);
     let mut node = Node::default();
     node.send((1, 0), 77_900, command);
     let sent = String::from_utf8(written(node.outbox())).unwrap();
-    assert_eq!(sent, get(&FIELDS.replace("480", "77")));
+    assert_eq!(sent, get("9b", &FIELDS.replace("480", "77")));
 }
 
 #[test]
 fn answers_go_in_the_order_of_commands_and_malformed_ones_get_an_error() {
     let (mut client, mut asks) = (resp_client(), Vec::new());
     let bad = [FIELDS.replace("read", "x"), FIELDS.replace("480", "x"), FIELDS.replace("c=", "c"), "".into()];
-    let bad: String = bad.iter().map(|f| get(f)).collect();
-    let text =
-        format!("{}{}*1\r\n$4\r\nPING\r\n*1\r\n$5\r\nHELLO\r\n{bad}*0\r\nnonsense", get(FIELDS), get(FIELDS));
+    let bad: String = bad.iter().map(|f| get("9d", f)).collect();
+    let (first, second) = (get("9b", FIELDS), get("9c", FIELDS));
+    let text = format!("{first}{second}*1\r\n$4\r\nPING\r\n*1\r\n$5\r\nHELLO\r\n{bad}*0\r\nnonsense");
     client.receive(0, &mut BytesMut::from(text.as_bytes()), &mut asks);
     let ids: Vec<u64> = asks.iter().map(|(a, _)| a.id).collect();
     assert_eq!((ids.len(), client.owed(), client.ending()), (2, ids.clone(), true));
@@ -89,7 +116,7 @@
 fn replies_of_a_resp_node_become_outcomes() {
     let mut node = Node::default();
     let (mut client, mut asks) = (resp_client(), Vec::new());
-    let text = get(FIELDS).repeat(4);
+    let text: String = ["1", "2", "3", "4"].map(|id| get(id, FIELDS)).concat();
     client.receive(0, &mut BytesMut::from(text.as_bytes()), &mut asks);
     for (i, (_, command)) in asks.into_iter().enumerate() {
         node.send((i as u64, 0), 1000, command);
@@ -408,15 +435,99 @@
 #[test]
 fn what_is_owed_to_a_resp_client_is_bounded() {
     let body = "b".repeat(64 * 1024);
-    let put = format!(
-        "*5\r\n$7\r\nOBJ.PUT\r\n$2\r\n7f\r\n$2\r\n9b\r\n${}\r\n{FIELDS}\r\n$65536\r\n{body}\r\n",
-        FIELDS.len()
-    );
+    let fields = FIELDS.replace("read", "write");
+    let puts: String = (0..20).map(|id| put(&id.to_string(), &fields, &body)).collect();
     let (mut client, mut asks) = (resp_client(), Vec::new());
-    let mut read = BytesMut::from(put.repeat(20).as_bytes());
+    let mut read = BytesMut::from(puts.as_bytes());
     client.receive(0, &mut read, &mut asks);
     assert_eq!((asks.len(), client.full()), (16, true));
     client.answer(asks[3].0.id, Answer::Failed);
     client.receive(0, &mut read, &mut asks);
     assert_eq!((asks.len(), client.owed().len()), (17, 16));
 }
+
+/// Guards the nodes and the scheduler: what no node can use is told so, and nothing of it is kept.
+#[test]
+fn requests_that_nodes_cannot_use_are_errors_and_leave_no_state() {
+    let common = resp_common(1 << 20);
+    let mut client = Client::new(common.clone());
+    let with = |from: &str, to: &str| get("9b", &FIELDS.replace(from, to));
+    let long = "9".repeat(65);
+    let bad = [
+        with("gold", "golden"),
+        with("c=read", "c=write"),
+        with("480", "0"),
+        with("480", "-5"),
+        with("480", "+480"),
+        with("480", ""),
+        with("480", "1001"),
+        with("480", "99999999999999999999999"),
+        with("00000003b4d60021", "volume"),
+        with("units=2", "units=0"),
+        with("units=2", "units=7"),
+        with("shard=5", "shard=9"),
+        with("shard=5", "shard=-2"),
+        with("shard=5,", ""),
+        with("hosts=3", "hosts=0"),
+        with("hosts=3", "hosts=3,c=read"),
+        get("", FIELDS),
+        get("9 b", FIELDS),
+        get(&long, FIELDS),
+        get("9b", FIELDS).replace("7f3a9c21e0b4d655", "7f3a9c21e0b4d65x"),
+        put("9b", FIELDS, "body"),
+    ];
+    for text in &bad {
+        let (line, taken) = said(&mut client, text);
+        assert!(line.starts_with("-ERR ") && line.ends_with("\r\n") && taken == 0, "{text} {line}");
+        assert_eq!(line.matches("\r\n").count(), 1, "one line: {line}");
+    }
+    assert!(!client.ending() && client.owed().is_empty());
+    assert!(common.room.take(1 << 20), "nothing is held");
+}
+
+/// Guards against two requests under one id: nodes would take one for the other.
+#[test]
+fn the_id_of_an_open_request_is_free_again_once_it_is_over() {
+    let common = resp_common(1 << 20);
+    let (mut one, mut two) = (Client::new(common.clone()), Client::new(common.clone()));
+    let (text, again) = (get("9b", FIELDS), get("9b", &FIELDS.replace("shard=5", "shard=6")));
+    assert_eq!(said(&mut one, &text), (String::new(), 1));
+    let (line, taken) = said(&mut two, &again);
+    assert!(line.starts_with("-ERR ") && taken == 0, "{line}");
+    let number = one.owed()[0];
+    one.answer(number, Answer::Failed);
+    assert_eq!(said(&mut two, &again), (String::new(), 1), "answered: it is free");
+    drop(two);
+    assert_eq!(said(&mut one, &text).1, 1, "its client is gone: it is free");
+}
+
+/// Guards the memory: what all clients have open together is bounded, and beyond that nothing is taken.
+#[test]
+fn without_room_a_request_is_refused_at_once() {
+    let mut client = Client::new(resp_common(10_000));
+    let texts: String = (0..6).map(|id| get(&id.to_string(), FIELDS)).collect();
+    let mut asks = Vec::new();
+    client.receive(0, &mut BytesMut::from(texts.as_bytes()), &mut asks);
+    let taken = asks.len();
+    assert!((1..6).contains(&taken), "{taken}");
+    for id in client.owed() {
+        client.answer(id, Answer::Failed);
+    }
+    let lines = String::from_utf8(written(client.outbox())).unwrap();
+    assert_eq!(lines.matches("-BUSY\r\n").count(), 6 - taken);
+    assert_eq!(said(&mut client, &get("7", FIELDS)).1, 1, "there is room again");
+}
+
+/// Guards against waiting for the end of what never ends.
+#[test]
+fn a_command_is_refused_as_soon_as_its_head_shows_that_it_cannot_be_taken() {
+    for text in ["$", "x", "*17\r\n", "*-3\r\n", "*1000000000\r\n", "*5\r\n$60000000\r\n", "*4\r\n$-7\r\n"] {
+        let mut client = resp_client();
+        let (line, taken) = said(&mut client, &format!("{}{text}", get("9b", FIELDS)));
+        assert_eq!((line.as_str(), taken, client.ending()), ("", 1, true), "{text}");
+        let number = client.owed()[0];
+        client.answer(number, Answer::Served("v".into()));
+        let line = String::from_utf8(written(client.outbox())).unwrap();
+        assert!(line.starts_with("$1\r\nv\r\n-ERR ") && line.matches("-ERR").count() == 1, "{line}");
+    }
+}
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -5,6 +5,7 @@
 use common::net::*;
 use std::io::Write;
 use std::net::TcpStream;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 
 const SETTINGS: &str = r#"{"balancers":1,
     "bounds":{"most_tries":4,"second_copies":false,"cancel":true,"probes":false,"retry_after":true,
@@ -87,12 +88,16 @@
     stream: TcpStream,
 }
 
+/// A command; each has an id of its own.
 fn resp_command(write: bool) -> String {
+    static IDS: AtomicU64 = AtomicU64::new(1);
+    let id = format!("{:016x}", IDS.fetch_add(1, Relaxed));
     let (verb, class) = if write { ("OBJ.PUT", "tally-write") } else { ("OBJ.GET", "page-read") };
     let fields = format!("c={class},t=standard,d=2000,volume=00000003b4d60021,units=2,shard=0,hosts=1");
     let body = if write { "$4\r\nBODY\r\n" } else { "" };
     let words = if write { 5 } else { 4 };
-    format!("*{words}\r\n$7\r\n{verb}\r\n$2\r\n7f\r\n$2\r\n9b\r\n${}\r\n{fields}\r\n{body}", fields.len())
+    let (piece, length) = ("7f3a9c21e0b4d655", fields.len());
+    format!("*{words}\r\n$7\r\n{verb}\r\n$16\r\n{piece}\r\n$16\r\n{id}\r\n${length}\r\n{fields}\r\n{body}")
 }
 
 fn resp_verdict(stream: &mut TcpStream) -> Verdict {
@@ -126,7 +131,8 @@
         self.discovery.set(&member(&format!("s-{}", machine(state)), &self.address, 0, state));
     }
     fn ask(&mut self, write: bool, count: usize) -> Vec<Verdict> {
-        self.stream.write_all(resp_command(write).repeat(count).as_bytes()).expect("asks");
+        let text: String = (0..count).map(|_| resp_command(write)).collect();
+        self.stream.write_all(text.as_bytes()).expect("asks");
         (0..count).map(|_| resp_verdict(&mut self.stream)).collect()
     }
 }
@@ -444,3 +450,37 @@
     broker.signal("-HUP");
     assert_eq!(resp_verdict(&mut resp.stream), Failed, "what was taken is answered all the same");
 }
+
+/// Guards the seats: who has nothing open is sent away in time, with an error if it left a command unfinished,
+/// but never with a request open.
+#[test]
+fn clients_without_an_open_request_are_sent_away_and_others_stay() {
+    let (broker, mut resp, mut nbd) = rigs("idle");
+    let mut silent = connect(&broker.listen);
+    let mut half = connect(&broker.listen);
+    half.write_all(&resp_command(true).as_bytes()[..40]).unwrap();
+    let mut handshake = connect(&broker.nbd);
+    exact(&mut handshake, 18).unwrap();
+    resp.script().lock().unwrap().next = vec![Manner::Hang];
+    let hung = resp_command(true).replace("d=2000", "d=4000");
+    resp.stream.write_all(hung.as_bytes()).unwrap();
+    until("the node has the request", || resp.script.lock().unwrap().next.is_empty());
+    assert!(line(&mut silent).is_err(), "closed without a word");
+    assert!(line(&mut half).unwrap().starts_with("-ERR "));
+    assert!(line(&mut half).is_err(), "and closed");
+    assert!(line(&mut handshake).is_err(), "closed without a word");
+    assert_eq!(resp_verdict(&mut resp.stream), Failed, "the open request kept its connection");
+    assert_eq!(resp.ask(false, 1), [Served], "which goes on");
+    assert!(line(&mut resp.stream).is_err(), "until it has been idle for long");
+    assert_eq!(nbd.ask(false, 1), [Served], "a block device stays");
+}
+
+/// Guards against a crowd that says nothing taking all the seats.
+#[test]
+fn a_silent_crowd_does_not_keep_others_out() {
+    let (broker, _, _) = rigs("silence");
+    let _crowd: Vec<TcpStream> = (0..400).map(|_| connect(&broker.listen)).collect();
+    let mut stream = connect(&broker.listen);
+    stream.write_all(resp_command(false).as_bytes()).unwrap();
+    assert_eq!(resp_verdict(&mut stream), Served);
+}
