--- a/src/run/limits.rs
+++ b/src/run/limits.rs
@@ -169,8 +169,12 @@
         let before = self.taken.deadline.replace(at);
         if before != at {
             let mut deadlines = self.seats.deadlines.borrow_mut();
-            before.map(|before| deadlines.remove(before, self.number));
-            at.map(|at| deadlines.insert(at, self.number));
+            if let Some(before) = before {
+                deadlines.remove(before, self.number);
+            }
+            if let Some(at) = at {
+                deadlines.insert(at, self.number);
+            }
         }
     }
 
