Let a full house make room: unfinished commands leave after half a second, idle clients at once

Cause: `call_idle` (src/run/limits.rs) lets 8 connections be on their way out at once. Each took 200 ms, since `close` (src/wire/session.rs) waits for the peer's end even where nothing is unread; and one called while its command was unfinished did not leave at all before its time, so that 8 of those stopped all calling.

Ruled out: accepting itself (no `cannot accept`), CPU, the nodes (58 links, none unwell before the crowd).

Change: a seat says why it can be spared (silent, unfinished for 0.5 s, idle) and since when; one that is called or idle for too long reads what has just come, and else is dropped at once: with nothing unread, closing loses no answer. Only a connection that ends after an error is read on, for 100 ms.

--- a/src/run/start.rs
+++ b/src/run/start.rs
@@ -110,13 +110,13 @@
 }
 
 impl<W: Wire> Front<W> {
-    /// Takes connections for good. What the kernel has accepted is owed an answer, so a full house asks a
-    /// connection that is between requests to leave, rather than let new ones wait.
+    /// Takes connections for good. What the kernel has accepted is owed an answer, so a full house asks those
+    /// connections that can be spared to leave, rather than let new ones wait.
     pub async fn accept<S: Session<W>>(self, session: impl Fn() -> S) {
         let mut said = None;
         loop {
             while self.seats.len() >= self.most {
-                while self.seats.call_idle() {}
+                while self.seats.call_spare(self.pulse.now()) {}
                 tokio::time::sleep(FULL_HOUSE).await;
             }
             match self.listener.accept().await {
@@ -137,7 +137,7 @@
                         said = Some(Instant::now());
                         tracing::warn!(%error, clients = self.seats.len(), "cannot accept");
                     }
-                    while self.seats.call_idle() {}
+                    while self.seats.call_spare(self.pulse.now()) {}
                     tokio::time::sleep(FULL_HOUSE).await;
                 }
             }
--- a/src/wire/session.rs
+++ b/src/wire/session.rs
@@ -5,7 +5,7 @@
 use crate::interface::Time;
 use crate::interface::{Arrival, RequestId};
 use crate::run::clock::Pulse;
-use crate::run::limits::Seat;
+use crate::run::limits::{Seat, Spare};
 use crate::state::planner::{Answer, Ask, Back, Input, Wire};
 use bytes::BytesMut;
 use std::time::Duration;
@@ -18,7 +18,7 @@
 /// Answers of a client that does not read them wait up to this many bytes; then nothing more is taken.
 const MOST_UNREAD: u64 = 64 * 1024;
 /// How long a closing connection is read on, so that the answers before its end are not lost to a reset.
-const LINGER: Duration = Duration::from_millis(200);
+const LINGER: Duration = Duration::from_millis(100);
 /// How much is read meanwhile: one that goes on sending is not worth more.
 const MOST_LINGERED: usize = 128 * 1024;
 /// How long a connection may have nothing open, or a command unfinished.
@@ -99,6 +99,15 @@
         (self.since, self.moved) = (now, Some(now));
     }
 
+    /// Why the connection may be asked to leave while nothing is open on it, and since when.
+    fn spare(&self) -> (Spare, Time) {
+        match self.begun {
+            Some(begun) => (Spare::Unfinished, begun),
+            None if self.used => (Spare::Idle, self.since),
+            None => (Spare::Silent, self.accepted),
+        }
+    }
+
     /// When the connection has had its time, if nothing of use happens before. It is `idle` while nothing is
     /// owed on it; answers may be `waiting` to be written.
     fn deadline(&mut self, now: Time, idle: bool, waiting: bool) -> Option<Time> {
@@ -124,32 +133,35 @@
 ) {
     let (back, mut answers) = unbounded_channel();
     let mut read = BytesMut::new();
-    let mut asks = Vec::new();
     let mut pace = Pace::new(pulse.now());
+    let ways = Ways { planner, back, pulse };
     let _ = stream.set_nodelay(true);
     loop {
         let waiting = !session.outbox().is_empty();
         let idle = session.owed().is_empty() && !waiting;
         let gives_way = idle && session.gives_way();
-        let spoke = pace.used || pace.begun.is_some();
-        seat.set_idle(gives_way, spoke);
-        let deadline = pace.deadline(pulse.now(), gives_way, waiting);
-        let over = deadline.is_some_and(|at| at <= pulse.now());
+        seat.set_spare(gives_way.then(|| pace.spare()));
+        let deadline = pace.deadline(ways.pulse.now(), gives_way, waiting);
+        let over = deadline.is_some_and(|at| at <= ways.pulse.now());
         if over && waiting {
             break;
         }
-        if over && pace.begun.take().is_some() && !session.ending() {
+        if (over || (gives_way && seat.is_called())) && pace.begun.take().is_some() && !session.ending() {
             session.hurry();
             continue;
         }
         // A command that has begun is waited for: its last byte may be on its way.
-        let wanted = (*stopping.borrow() || seat.is_called()) && pace.begun.is_none();
-        if idle && (session.ending() || over || wanted) {
-            // Of one that never said a word there is nothing to wait for.
-            if spoke {
-                close(stream).await;
+        let wanted = seat.is_called() || (*stopping.borrow() && pace.begun.is_none());
+        if idle && session.ending() {
+            return close(stream).await;
+        }
+        if idle && (over || wanted) {
+            // What has just come is served first. With nothing unread, closing loses no answer.
+            match stream.try_read_buf(&mut read) {
+                Ok(1..) => ways.take(&mut session, &mut pace, &mut read),
+                _ => return,
             }
-            return;
+            continue;
         }
         seat.set_deadline(deadline);
         let open = !session.ending() && !session.full() && session.outbox().len() < MOST_UNREAD;
@@ -162,10 +174,7 @@
                 }
                 // What was read but held back because too much was owed.
                 if !read.is_empty() && !session.full() {
-                    let before = read.len();
-                    session.receive(pulse.came(), &mut read, &mut asks);
-                    pace.read(pulse.now(), before, read.len());
-                    hand_over(&planner, &back, &mut asks);
+                    ways.take(&mut session, &mut pace, &mut read);
                 }
             }
             ready = stream.writable(), if waiting => {
@@ -173,7 +182,7 @@
                 match ready.and_then(|()| stream.try_write_vectored(&outbox.slices())) {
                     Ok(n) => {
                         outbox.wrote(n);
-                        pace.wrote(pulse.now());
+                        pace.wrote(ways.pulse.now());
                     }
                     Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
                     Err(_) => break,
@@ -187,10 +196,7 @@
                     Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => continue,
                     Err(_) => break,
                 }
-                let before = read.len();
-                session.receive(pulse.came(), &mut read, &mut asks);
-                pace.read(pulse.now(), before, read.len());
-                hand_over(&planner, &back, &mut asks);
+                ways.take(&mut session, &mut pace, &mut read);
             }
             _ = stopping.changed(), if !*stopping.borrow() => session.stop(),
             () = seat.called() => {}
@@ -198,17 +204,26 @@
     }
     // The client is gone; what it was owed is nobody's any more.
     for id in session.owed() {
-        let _ = planner.send(Input::Gone(id));
+        let _ = ways.planner.send(Input::Gone(id));
     }
 }
 
-fn hand_over<W: Wire>(
-    planner: &UnboundedSender<Input<W>>,
-    back: &Back<W::Reply>,
-    asks: &mut Vec<(Arrival, W::Request)>,
-) {
-    for (arrival, request) in asks.drain(..) {
-        let _ = planner.send(Input::Ask(Ask { arrival, request, back: back.clone() }));
+/// Where a session's requests go, and where their answers come back to.
+struct Ways<W: Wire> {
+    planner: UnboundedSender<Input<W>>,
+    back: Back<W::Reply>,
+    pulse: Pulse,
+}
+
+impl<W: Wire> Ways<W> {
+    /// Has the session take what was read, and hands over what it asks for.
+    fn take<S: Session<W>>(&self, session: &mut S, pace: &mut Pace, read: &mut BytesMut) {
+        let (before, mut asks) = (read.len(), Vec::new());
+        session.receive(self.pulse.came(), read, &mut asks);
+        pace.read(self.pulse.now(), before, read.len());
+        for (arrival, request) in asks {
+            let _ = self.planner.send(Input::Ask(Ask { arrival, request, back: self.back.clone() }));
+        }
     }
 }
 
