Pass on values of up to 1 MiB from nodes, within the room that the memory gives

Logged as they came, they are good replies with values of 190 to 215 thousand bytes: `bulk` (src/wire/resp.rs) held nodes to the 64 KiB of the protocol's page.

Ruled out: noise (every one of those looked at began with a good head), our own framing (one request out each).

Change: a node's value may have 1 MiB, a client's stays at 64 KiB, a line at 4 KiB.

--- a/src/run/fleet.rs
+++ b/src/run/fleet.rs
@@ -1,6 +1,7 @@
 //! Drives a planner: waits for what happens, gives it its turns, and carries out what it wants on sockets.
 
 use super::clock::Clock;
+use super::limits::Room;
 use crate::interface::{Ending, Time};
 use crate::state::planner::{Effect, End, Input, Planner, Wire};
 use crate::state::pool::{Lane, LinkId};
@@ -30,6 +31,8 @@
     pub clock: Clock,
     /// How long a link's connection may take to come up.
     pub connect_timeout: Duration,
+    /// Room for replies that are not whole yet.
+    pub room: Room,
 }
 
 impl<W: Wire> Fleet<W> {
@@ -64,6 +67,7 @@
                             orders,
                             planner: self.own.clone(),
                             clock: self.clock,
+                            room: self.room.clone(),
                         };
                         tokio::task::spawn_local(task.run());
                     }
--- a/src/run/limits.rs
+++ b/src/run/limits.rs
@@ -27,7 +27,8 @@
     pub clients: usize,
     /// Links to nodes.
     pub links: usize,
-    /// Bytes for requests that are open, beside what each connection may take.
+    /// Bytes for requests that are open, replies that are not whole and answers that are not read, beside what
+    /// each connection takes.
     pub room: usize,
 }
 
@@ -71,6 +72,41 @@
     pub fn give_back(&self, bytes: usize) {
         self.left.set(self.left.get() + bytes);
     }
+
+    /// A part of it whose size changes; none as yet.
+    pub fn part(&self) -> Part {
+        Part { room: self.clone(), bytes: 0 }
+    }
+}
+
+/// A part of the room, given back when it is dropped.
+#[derive(Debug)]
+pub struct Part {
+    room: Room,
+    bytes: usize,
+}
+
+impl Part {
+    /// Makes it that large; false, with nothing changed, if there is not so much left.
+    pub fn resize(&mut self, bytes: usize) -> bool {
+        if bytes > self.bytes && !self.room.take(bytes - self.bytes) {
+            return false;
+        }
+        self.room.give_back(self.bytes.saturating_sub(bytes));
+        self.bytes = bytes;
+        true
+    }
+
+    /// How large it is.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+}
+
+impl Drop for Part {
+    fn drop(&mut self) {
+        self.room.give_back(self.bytes);
+    }
 }
 
 /// Why a connection may be asked to leave where seats run out; in the order in which they are.
@@ -223,6 +259,9 @@
         let room = Room::new(10);
         assert!(room.take(6) && !room.take(5) && room.take(4));
         room.give_back(6);
+        let mut part = room.part();
+        assert!(part.resize(4) && !part.resize(7) && part.resize(3) && !room.take(4));
+        drop(part);
         assert!(!room.take(7) && room.take(6));
     }
 
--- a/src/run/nbd.rs
+++ b/src/run/nbd.rs
@@ -3,7 +3,7 @@
 use super::catalogue::{Deploy, Shared};
 use super::clock::{Clock, Pulse};
 use super::fleet::Fleet;
-use super::limits::{Limits, Seats};
+use super::limits::{Limits, Room, Seats};
 use super::peers::Peers;
 use super::settings::Bounds;
 use super::start::{listen, sweep, Front, StartError};
@@ -97,6 +97,7 @@
         watch: wish,
         clock: place.clock,
         connect_timeout: Duration::from_micros(bounds.connect_timeout.max(1000) as u64),
+        room: Room::new(place.limits.room),
     };
     let names = exports.clone();
     tokio::task::spawn_local(
--- a/src/run/start.rs
+++ b/src/run/start.rs
@@ -191,6 +191,7 @@
     // The list last had comes first of all, before any request: it also makes the planner ask for news.
     let known = config.known.map(|known| known.into_members(&mut numbers, &config.start.zones));
     let _ = own.send(Input::Nodes(ListKind::Saved, known.unwrap_or_default()));
+    let room = Room::new(limits.room);
     let fleet = Fleet {
         name: "resp",
         planner,
@@ -199,6 +200,7 @@
         watch: wish,
         clock,
         connect_timeout: Duration::from_micros(bounds.connect_timeout.max(1000) as u64),
+        room: room.clone(),
     };
     tokio::task::spawn_local(fleet.run(|_| Node::default()));
     let zones = config.start.zones;
@@ -215,7 +217,7 @@
         most: limits.clients,
         stopping: stopping.clone(),
     };
-    let common = Rc::new(Common::new(terms, Room::new(limits.room)));
+    let common = Rc::new(Common::new(terms, room));
     let accepting = tokio::task::spawn_local(front.accept(move || Client::new(common.clone())));
     tokio::task::spawn_local(sweep(seats.clone(), clock));
     let nbd = match deploy.filter(|_| nbd_on) {
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -3,6 +3,7 @@
 use super::outbox::Outbox;
 use crate::interface::{Ending, Time};
 use crate::run::clock::Clock;
+use crate::run::limits::Room;
 use crate::state::planner::{End, Input, Tag, Wire};
 use crate::state::pool::LinkId;
 use bytes::BytesMut;
@@ -68,6 +69,8 @@
     pub planner: UnboundedSender<Input<W>>,
     /// The time.
     pub clock: Clock,
+    /// Room for replies that are not whole yet.
+    pub room: Room,
 }
 
 impl<W: Wire, X: Exchange<W>> LinkTask<W, X> {
@@ -129,6 +132,7 @@
     async fn carry(&mut self, stream: TcpStream) -> Option<String> {
         let mut read = BytesMut::new();
         let mut ended = Vec::new();
+        let mut part = self.room.part();
         loop {
             let waiting = !self.exchange.outbox().is_empty();
             tokio::select! {
@@ -153,6 +157,14 @@
                         tracing::warn!(address = self.address, "node broke the protocol: {e}");
                         return Some(e.to_string());
                     }
+                    if read.is_empty() {
+                        // An idle link must not pin the buffer of its last reply.
+                        read = BytesMut::new();
+                    }
+                    if !part.resize(read.len().saturating_sub(READ)) {
+                        tracing::warn!(address = self.address, "no room for a reply");
+                        return Some("no room for a reply".to_string());
+                    }
                 }
                 ready = stream.writable(), if waiting => {
                     if let Err(e) = ready {
--- a/src/wire/resp.rs
+++ b/src/wire/resp.rs
@@ -17,12 +17,17 @@
 use winnow::token::{any, take, take_till, take_while};
 use winnow::{LocatingSlice, ModalResult, Parser, Partial};
 
-/// Longest value.
+/// Longest value that a client may send.
 pub const MOST_VALUE: usize = 64 * 1024;
+/// Longest value that a node may send. The protocol's page says 64 KiB for both, but nodes were seen to serve
+/// reads with more than 200.
+pub const MOST_SERVED: usize = 1024 * 1024;
+/// Longest line.
+const MOST_LINE: usize = 4 * 1024;
 /// Most values in an array: no command or reply has more.
 const MOST_ITEMS: i64 = 16;
-/// Most bytes of one message: a value and room for the rest.
-const MOST_MESSAGE: usize = MOST_VALUE + 16 * 1024;
+/// Most bytes of a message beside its longest value.
+const MOST_BESIDE: usize = 16 * 1024;
 /// Arrays in arrays.
 const MOST_DEPTH: u8 = 2;
 
@@ -66,7 +71,11 @@
 
 type Input<'a> = Partial<LocatingSlice<&'a [u8]>>;
 
+/// A line; one that does not end in time is no line.
 fn line(input: &mut Input) -> ModalResult<Range<usize>> {
+    if input.len() > MOST_LINE && !input[..MOST_LINE].contains(&b'\n') {
+        return fail(input);
+    }
     let text = take_till(0.., |b| b == b'\r' || b == b'\n').span().parse_next(input)?;
     "\r\n".parse_next(input)?;
     Ok(text)
@@ -78,10 +87,10 @@
     Ok(n)
 }
 
-fn bulk(input: &mut Input) -> ModalResult<Placed> {
+fn bulk(most: usize, input: &mut Input) -> ModalResult<Placed> {
     match length(input)? {
         -1 => Ok(Placed::Bulk(None)),
-        n if (0..=MOST_VALUE as i64).contains(&n) => {
+        n if (0..=most as i64).contains(&n) => {
             let text = take(n as usize).span().parse_next(input)?;
             "\r\n".parse_next(input)?;
             Ok(Placed::Bulk(Some(text)))
@@ -90,14 +99,14 @@
     }
 }
 
-fn array(depth: u8, input: &mut Input) -> ModalResult<Placed> {
+fn array(most: usize, depth: u8, input: &mut Input) -> ModalResult<Placed> {
     match length(input)? {
         -1 => Ok(Placed::Array(None)),
         // Nothing is set aside for the length a peer states: the items grow as they come.
         n if (0..=MOST_ITEMS).contains(&n) && depth < MOST_DEPTH => {
             let mut items = Vec::new();
             for _ in 0..n {
-                items.push(value(depth + 1, input)?);
+                items.push(value(most, depth + 1, input)?);
             }
             Ok(Placed::Array(Some(items)))
         }
@@ -105,29 +114,32 @@
     }
 }
 
-fn value(depth: u8, input: &mut Input) -> ModalResult<Placed> {
+fn value(most: usize, depth: u8, input: &mut Input) -> ModalResult<Placed> {
     dispatch! {any;
         b'+' => line.map(Placed::Simple),
         b'-' => line.map(Placed::Error),
         b':' => length.map(Placed::Integer),
-        b'$' => bulk,
-        b'*' => |input: &mut Input| array(depth, input),
+        b'$' => |input: &mut Input| bulk(most, input),
+        b'*' => |input: &mut Input| array(most, depth, input),
         _ => fail,
     }
     .parse_next(input)
 }
 
-/// Takes one whole value off the front of what was read; nothing while it is not whole.
+/// Takes one whole value of a node off the front of what was read; nothing while it is not whole.
 pub fn decode(read: &mut BytesMut) -> Result<Option<Value>, Broken> {
-    take_whole(read, |input| value(0, input))
+    take_whole(MOST_SERVED, read, |input| value(MOST_SERVED, 0, input))
 }
 
-/// The same of a command: whatever does not begin as an array is noise, and its end is not waited for.
+/// The same of a client's command: whatever does not begin as an array is noise, and its end is not waited
+/// for.
 pub fn decode_command(read: &mut BytesMut) -> Result<Option<Value>, Broken> {
-    take_whole(read, |input| preceded(b'*', |input: &mut Input| array(0, input)).parse_next(input))
+    let command = |input: &mut Input| array(MOST_VALUE, 0, input);
+    take_whole(MOST_VALUE, read, |input| preceded(b'*', command).parse_next(input))
 }
 
 fn take_whole(
+    most: usize,
     read: &mut BytesMut,
     mut parser: impl FnMut(&mut Input) -> ModalResult<Placed>,
 ) -> Result<Option<Value>, Broken> {
@@ -138,7 +150,7 @@
             let frame = read.split_to(end).freeze();
             Ok(Some(placed.cut(&frame)))
         }
-        Err(ErrMode::Incomplete(_)) if read.len() <= MOST_MESSAGE => Ok(None),
+        Err(ErrMode::Incomplete(_)) if read.len() <= most + MOST_BESIDE => Ok(None),
         Err(ErrMode::Incomplete(_)) => Err(Broken("message too long")),
         Err(_) => Err(Broken("not RESP2")),
     }
--- a/src/wire/resp/server.rs
+++ b/src/wire/resp/server.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::interface::{Arrival, RequestId};
-use crate::run::limits::Room;
+use crate::run::limits::{Part, Room};
 use crate::state::planner::Answer;
 use crate::wire::session::{Numbers, Session};
 use std::cell::RefCell;
@@ -97,6 +97,8 @@
     common: Rc<Common>,
     slots: VecDeque<Slot>,
     held: usize,
+    /// Room for the values that are not written yet.
+    values: Part,
     outbox: Outbox,
     ending: bool,
 }
@@ -107,7 +109,8 @@
 impl Client {
     /// A session of a client that has just connected.
     pub fn new(common: Rc<Common>) -> Self {
-        Client { common, slots: VecDeque::new(), held: 0, outbox: Outbox::default(), ending: false }
+        let values = common.room.part();
+        Client { common, slots: VecDeque::new(), held: 0, values, outbox: Outbox::default(), ending: false }
     }
 
     fn command(
@@ -241,6 +244,10 @@
     }
 }
 
+fn size(parts: &[Bytes]) -> usize {
+    parts.iter().map(Bytes::len).sum()
+}
+
 /// Sixteen digits, as pieces and volumes are named.
 fn is_hex(text: &[u8]) -> bool {
     text.len() == HEX_DIGITS && text.iter().all(u8::is_ascii_hexdigit)
@@ -281,6 +288,10 @@
 
     fn answer(&mut self, number: RequestId, answer: Answer<Bytes>) {
         let parts = match answer {
+            // The client leaves more unread than there is room for.
+            Answer::Served(value) if !self.values.resize(self.values.bytes() + value.len()) => {
+                vec![Bytes::from_static(b"-ERR failed\r\n")]
+            }
             Answer::Served(value) => {
                 vec![format!("${}\r\n", value.len()).into(), value, Bytes::from_static(b"\r\n")]
             }
@@ -301,6 +312,15 @@
         &mut self.outbox
     }
 
+    fn wrote(&mut self, bytes: usize) {
+        self.outbox.wrote(bytes);
+        // What waits behind an open request keeps its room, too, until all is written.
+        if self.outbox.is_empty() {
+            let ready = |slot: &Slot| if let Slot::Ready(parts) = slot { size(parts) } else { 0 };
+            self.values.resize(self.slots.iter().map(ready).sum::<usize>().min(self.values.bytes()));
+        }
+    }
+
     fn owed(&self) -> Vec<RequestId> {
         let owed = |slot: &Slot| if let Slot::Owed(owed) = slot { Some(owed.number) } else { None };
         self.slots.iter().filter_map(owed).collect()
--- a/src/wire/session.rs
+++ b/src/wire/session.rs
@@ -50,6 +50,10 @@
     fn answer(&mut self, id: RequestId, answer: Answer<W::Reply>);
     /// What is to be written.
     fn outbox(&mut self) -> &mut Outbox;
+    /// So many bytes of it were written.
+    fn wrote(&mut self, bytes: usize) {
+        self.outbox().wrote(bytes);
+    }
     /// Requests without an answer.
     fn owed(&self) -> Vec<RequestId>;
     /// Whether so much is owed that nothing more should be read for now.
@@ -178,10 +182,9 @@
                 }
             }
             ready = stream.writable(), if waiting => {
-                let outbox = session.outbox();
-                match ready.and_then(|()| stream.try_write_vectored(&outbox.slices())) {
+                match ready.and_then(|()| stream.try_write_vectored(&session.outbox().slices())) {
                     Ok(n) => {
-                        outbox.wrote(n);
+                        session.wrote(n);
                         pace.wrote(ways.pulse.now());
                     }
                     Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
@@ -221,6 +224,10 @@
         let (before, mut asks) = (read.len(), Vec::new());
         session.receive(self.pulse.came(), read, &mut asks);
         pace.read(self.pulse.now(), before, read.len());
+        if read.is_empty() {
+            // A client that is idle must not pin the buffer of its last command.
+            *read = BytesMut::new();
+        }
         for (arrival, request) in asks {
             let _ = self.planner.send(Input::Ask(Ask { arrival, request, back: self.back.clone() }));
         }
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -531,3 +531,36 @@
         assert!(line.starts_with("$1\r\nv\r\n-ERR ") && line.matches("-ERR").count() == 1, "{line}");
     }
 }
+
+/// Guards the memory against a client that leaves its answers unread, and a served value against being taken
+/// for too long: nodes serve more than clients may send.
+#[test]
+fn large_values_are_passed_on_while_there_is_room_for_them() {
+    let value = "v".repeat(200 * 1024);
+    let mut node = Node::default();
+    let mut client = Client::new(resp_common(500_000));
+    let mut asks = Vec::new();
+    let texts: String = (0..3).map(|id| get(&id.to_string(), FIELDS)).collect();
+    client.receive(0, &mut BytesMut::from(texts.as_bytes()), &mut asks);
+    for (arrival, command) in asks {
+        node.send((arrival.id, 0), 1000, command);
+    }
+    let reply = format!("*3\r\n${}\r\n{value}\r\n$-1\r\n$-1\r\n", value.len());
+    let mut ended = Vec::new();
+    node.receive(&mut BytesMut::from(reply.repeat(3).as_bytes()), &mut ended).expect("values");
+    for ((id, _), end) in ended {
+        client.answer(id, Answer::Served(end.reply.expect("a value")));
+    }
+    let mut texts = String::new();
+    while !client.outbox().is_empty() {
+        let bytes = client.outbox().slices().iter().flat_map(|s| s.to_vec()).collect::<Vec<u8>>();
+        client.wrote(bytes.len());
+        texts += std::str::from_utf8(&bytes).unwrap();
+    }
+    let told: Vec<&str> = texts.split("\r\n").filter(|line| line.len() < 20).collect();
+    assert_eq!(told, ["$204800", "$204800", "-ERR failed", ""]);
+    assert_eq!(said(&mut client, &get("4", FIELDS)).1, 1);
+    let number = client.owed()[0];
+    client.answer(number, Answer::Served(value.into()));
+    assert!(client.outbox().len() > 200 * 1024, "what was written has given back its room");
+}
