Take lost attempts off their node's account and end replies that stop short

Nodes were called silent because two lost attempts were out while nobody asked for more.

Lines at fault: `Node::settle` and `Node::silent` (src/rules.rs) know only attempts that have ended; src/wire/link.rs waited for the rest of a reply as long as for its beginning.

Ruled out: slow nodes (answers on other links of the same nodes came within 50 ms), refused connections.

Change: an attempt out for 250 ms that eight later ones have overtaken takes no place any more; its answer is still taken if it comes. A reply of which nothing comes for 300 ms is a reset. A link rests 2 ms after a reply while there are others: surplus bytes came in one read with their reply in all 250 cases logged, but nothing promises that. Gone nodes, their numbers and addresses, and volumes that nobody asks for are forgotten.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -45,13 +45,14 @@
 /// Time unheard, for each host that there is, after which late or spare work may try a slow node.
 const UNHEARD: Time = 1_000_000;
 /// Strikes without an answer between that make a node unwell. A connection that breaks is one: a few in a row
-/// come by chance where the network breaks one in six. An attempt that is waited for in vain is more.
+/// come by chance where the network breaks one in six. An attempt that is waited for in vain is two.
 const STRIKES: u32 = 6;
-/// Strikes of an attempt that timed out.
-const TIMED_OUT: u32 = 2;
 /// Part of its lately ended attempts that may have run without an answer to serve, beyond which a node gets
 /// no new objects while there are others: a write that may have run is lost.
 const FAULTY: f64 = 0.15;
+/// An attempt out for this long that so many have overtaken counts as lost: nodes work in turn of arrival, a
+/// few at once, so it takes no place there any more, though its answer may yet come.
+const LOST: (Time, u32) = (250_000, 8);
 /// Attempts without a fault that a node is taken to have behind it: one fault alone tells little.
 const PRIOR_ATTEMPTS: f64 = 6.0;
 /// Time between the trials of an unwell node: recovery is seen this late.
@@ -77,6 +78,8 @@
 /// Part of a second's reserve that the class of no worth would leave to the dearest: what is served
 /// takes the best that is still due, so a cheap class must not use it up first.
 const KEPT_FOR_DEARER: f64 = 0.5;
+/// Volumes that nobody has asked for and nodes that have been gone for so long are forgotten.
+const FORGOTTEN: Time = 60_000_000;
 /// Safety margin on stores of limits and cold units, against rounding.
 const MARGIN: f64 = 0.01;
 
@@ -151,6 +154,8 @@
     end: Time,
     /// Units out at the node at the send, this one included.
     depth: f64,
+    /// Attempts that were sent later and served before.
+    overtaken: u32,
     /// Its ordered key.
     key: Option<String>,
 }
@@ -164,6 +169,8 @@
     free_at: Time,
     pace: Pace,
     last_answer: Time,
+    /// When the list told of it last, or first missed it.
+    listed: Time,
     /// Faults as waits, attempts as depths.
     faults: Pace,
     strikes: u32,
@@ -226,6 +233,7 @@
     taken: VecDeque<Time>,
     extra: VecDeque<Time>,
     list_gap: Time,
+    forget_at: Time,
     /// The longest that a client of each class was ready to wait.
     longest: BTreeMap<usize, Time>,
     /// Units of reads within reserve or share taken since the start.
@@ -262,12 +270,18 @@
             taken: VecDeque::new(),
             extra: VecDeque::new(),
             list_gap: LIST_RETRY,
+            forget_at: now + FORGOTTEN,
             asked: 0.0,
             longest: BTreeMap::new(),
             pace: Pace::default(),
         })
     }
 
+    /// How many nodes and volumes it remembers.
+    pub fn known(&self) -> (usize, usize) {
+        (self.nodes.len(), self.volumes.len())
+    }
+
     /// Takes all events that are known at `now`, in their order, and appends what is to be done. Nothing is
     /// judged or sent before all are read: after a stall of this host the answers of a second come at once.
     pub fn handle(&mut self, now: Time, events: impl IntoIterator<Item = Event>, acts: &mut Vec<Action>) {
@@ -282,6 +296,10 @@
         }
         self.run_agenda(now, acts);
         self.pump(now, acts);
+        if now >= self.forget_at {
+            self.forget_at = now + FORGOTTEN;
+            self.forget(now);
+        }
         if let Some((at, _)) = self.agenda.first() {
             if self.armed.is_none_or(|armed| *at < armed || armed <= now) {
                 self.armed = Some(*at);
@@ -290,6 +308,22 @@
         }
     }
 
+    /// Drops what is long past. Of a limit's store only a full one goes: it would be full anew.
+    fn forget(&mut self, now: Time) {
+        let open: BTreeSet<&String> = self.requests.values().map(|r| &r.volume).collect();
+        let plans = &self.set.plans;
+        self.volumes.retain(|name, v| {
+            let (limit, hosts) = (plans[v.plan].limit, f64::from(v.hosts));
+            let full = |l: Limit| v.limit.fill(now, l.rate / hosts, l.burst / hosts) >= l.burst / hosts;
+            now - v.reserve.at < FORGOTTEN || open.contains(name) || !limit.is_none_or(full)
+        });
+        let tried: BTreeSet<NodeId> = self.requests.values().filter_map(|r| r.maybe).map(|m| m.1).collect();
+        self.nodes.retain(|id, n| {
+            let gone = n.entry.state == NodeState::Gone && now - n.listed >= FORGOTTEN;
+            !gone || !n.slots.is_empty() || tried.contains(id)
+        });
+    }
+
     /// A wait drawn evenly from three quarters to five quarters, so that hosts don't move in step.
     fn spread(&mut self, wait: Time) -> Time {
         self.seed = self.seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
@@ -329,7 +363,9 @@
         if kind != ListKind::Changes {
             let named: BTreeSet<NodeId> = list.iter().map(|e| e.node).collect();
             for node in self.nodes.values_mut().filter(|n| !named.contains(&n.entry.node)) {
-                node.entry.state = NodeState::Gone;
+                if std::mem::replace(&mut node.entry.state, NodeState::Gone) != NodeState::Gone {
+                    node.listed = now;
+                }
             }
         }
         for entry in list {
@@ -345,7 +381,7 @@
             if entry.started.is_some_and(|s| now - s < self.set.cold_time) {
                 acts.push(Action::Log(format!("node {} is cold", entry.node)));
             }
-            node.entry = entry;
+            (node.entry, node.listed) = (entry, now);
         }
     }
 
@@ -443,21 +479,19 @@
     /// Lets the first request of an ordered key into its queue when nothing before it is unfinished.
     fn advance(&mut self, now: Time, key: &str) {
         let Some(line) = self.lines.get(key) else { return };
-        let Some(&head) = line.ids.front() else {
-            if line.out == 0 && line.rest_until <= now {
-                self.lines.remove(key);
-            }
-            return;
-        };
-        let started = self.requests.get(&head).is_some_and(|r| r.tries > 0 || r.rank.is_some());
-        if started || line.out > 0 {
+        let head = line.ids.front().copied();
+        let started = |id| self.requests.get(&id).is_some_and(|r| r.tries > 0 || r.rank.is_some());
+        if line.out > 0 || head.is_some_and(started) {
             return;
         }
         if line.rest_until > now {
             self.agenda.insert((line.rest_until, Wake::Key(key.to_string())));
             return;
         }
-        self.enqueue(head);
+        match head {
+            Some(head) => self.enqueue(head),
+            None => drop(self.lines.remove(key)),
+        }
     }
 
     /// Puts a request into the queue of its shard or of the new objects.
@@ -517,8 +551,8 @@
             .filter_map(|(_, node)| self.nodes.get(node))
             .filter(|n| !n.unwell && self.room(now, n, request))
             .min_by_key(|n| {
-                let ends = n.frees(now, average) + (request.units * n.per_unit(now, average)) as Time;
-                (n.faulty(now), ends)
+                let own = request.units * n.per_unit(now, average);
+                (n.faulty(now), n.frees(now, average) + own as Time)
             })
             .map(|n| n.entry.node)
     }
@@ -621,7 +655,7 @@
             self.give_up(now, id, acts);
             return false;
         }
-        let Some(volume) = self.volumes.get_mut(&request.volume) else { return false };
+        let Some(volume) = self.volumes.get_mut(&request.volume) else { return true };
         let unpaid = !request.paid;
         let Some(limit) = self.set.plans[volume.plan].limit.filter(|_| unpaid) else { return true };
         let hosts = f64::from(volume.hosts);
@@ -785,8 +819,7 @@
         }
     }
 
-    /// Whether a held request would still be served in time if it waited its turn at its node, or at the best
-    /// of those that it may go to.
+    /// Whether a held request would still be served in time if it waited its turn at the best node for it.
     fn hopeful(&self, now: Time, request: &Request) -> bool {
         let (Some(rank), Some(queue)) = (request.rank, self.queues.get(&request.shard)) else { return true };
         let holder = request.shard.and_then(|shard| self.holder(shard));
@@ -892,7 +925,7 @@
         let end = self.free_at.max(now) + (units * self.per_unit(now, average)) as Time;
         self.free_at = end;
         self.units_out += units;
-        self.slots.insert(id, Slot { units, sent: now, end, depth: self.units_out, key });
+        self.slots.insert(id, Slot { units, sent: now, end, depth: self.units_out, overtaken: 0, key });
     }
 
     /// Drops what is left of an attempt's slot.
@@ -923,6 +956,15 @@
             self.pace.add(now, wait, slot.depth);
             all.add(now, wait, slot.depth);
         }
+        if o.ending == Ending::Served {
+            for older in self.slots.values_mut().filter(|s| s.sent < slot.sent) {
+                older.overtaken += 1;
+                if now - older.sent >= LOST.0 && older.overtaken >= LOST.1 {
+                    self.units_out = (self.units_out - older.units).max(0.0);
+                    older.units = 0.0;
+                }
+            }
+        }
         if matches!(o.ending, Ending::Served | Ending::Error | Ending::Full) {
             self.last_answer = now;
         }
@@ -932,7 +974,7 @@
         match o.ending {
             Ending::Served | Ending::Error => self.strikes = 0,
             Ending::Reset => self.strikes += 1,
-            Ending::TimedOut => self.strikes += TIMED_OUT,
+            Ending::TimedOut => self.strikes += 2,
             Ending::Full | Ending::Unreachable => self.strikes += STRIKES,
             Ending::Cancelled | Ending::NotSent => {}
         }
@@ -947,9 +989,10 @@
     /// Whether the node has work of this host and has answered nothing for longer than it ever pauses. Of a
     /// single attempt the answer may be lost; two tell more.
     fn silent(&self, now: Time, average: f64) -> bool {
-        let Some(oldest) = self.slots.values().map(|s| s.sent).min() else { return false };
+        let waited_for = || self.slots.values().filter(|s| s.units > 0.0);
+        let oldest = waited_for().map(|s| s.sent).min().unwrap_or(now);
         let patience = (self.units_out * self.per_unit(now, average) * SILENT_WAITS) as Time;
-        self.slots.len() > 1 && now - oldest.max(self.last_answer) > patience.max(SILENT)
+        waited_for().count() > 1 && now - oldest.max(self.last_answer) > patience.max(SILENT)
     }
 }
 
--- a/src/state/planner.rs
+++ b/src/state/planner.rs
@@ -91,6 +91,8 @@
     Ended(LinkId, Tag, End<W::Reply>),
     /// The connection of a link is up.
     LinkUp(LinkId),
+    /// Something has come on a link: true if what it belongs to is not whole yet.
+    Partial(LinkId, bool),
     /// A link is over; all its attempts have ended before. True if it never came up.
     LinkDown(LinkId, bool),
     /// News of the nodes.
@@ -123,8 +125,13 @@
     Attempt(Tag),
     /// A link may have been idle for too long.
     Idle(LinkId),
+    /// A reply that began on a link should be whole by now.
+    Whole(LinkId),
 }
 
+/// How long nothing may come of a reply that has begun: nodes stand still between replies, not within.
+const WHOLE: Time = 300_000;
+
 /// A request that has no final answer yet.
 struct Open<W: Wire> {
     request: W::Request,
@@ -211,6 +218,11 @@
         (self.requests.len(), self.attempts.len(), self.pool.len())
     }
 
+    /// Nodes that have an address here, and nodes that the scheduler keeps a book of.
+    pub fn known(&self) -> (usize, usize) {
+        (self.addresses.len(), self.scheduler.known().0)
+    }
+
     /// One turn: takes all that has happened, sweeps the deadlines, lets the scheduler decide on everything
     /// at once, and appends what is to be done.
     pub fn turn(
@@ -232,6 +244,11 @@
                         effects.push(Effect::Close(link));
                     }
                 }
+                Deadline::Whole(link) => {
+                    if self.pool.is_stuck(now - WHOLE, link) {
+                        self.break_link(now, link, effects);
+                    }
+                }
             }
         }
         // Carrying out an action can bring an outcome at once, when there is no link to be had: the
@@ -270,11 +287,20 @@
                 self.ended(now, tag, end);
             }
             Input::LinkUp(link) => self.pool.up(link),
+            Input::Partial(link, partial) => {
+                self.pool.set_partial(link, partial.then_some(now));
+                if partial {
+                    self.deadlines.insert(now + WHOLE, Deadline::Whole(link));
+                }
+            }
             Input::LinkDown(link, refused) => {
                 self.pool.remove(now, link, refused);
             }
             Input::Nodes(kind, members) => {
                 let mut entries = Vec::with_capacity(members.len());
+                if matches!(kind, ListKind::Full | ListKind::Saved) {
+                    self.addresses.clear();
+                }
                 for member in members {
                     if member.entry.state != NodeState::Up {
                         for link in self.pool.idle_of(member.entry.node) {
@@ -282,7 +308,10 @@
                             effects.push(Effect::Close(link));
                         }
                     }
-                    self.addresses.insert(member.entry.node, member.address);
+                    match member.entry.state {
+                        NodeState::Gone => drop(self.addresses.remove(&member.entry.node)),
+                        _ => drop(self.addresses.insert(member.entry.node, member.address)),
+                    }
                     entries.push(member.entry);
                 }
                 self.events.push(Event::Nodes(kind, entries));
@@ -332,12 +361,17 @@
         if self.pool.is_shared(link) && !self.requests.contains_key(&tag.0) {
             return;
         }
+        self.break_link(now, link, effects);
+    }
+
+    /// Closes a link under whatever is out on it.
+    fn break_link(&mut self, now: Time, link: LinkId, effects: &mut Vec<Effect<W>>) {
         if self.pool.remove(now, link, false) {
             effects.push(Effect::Close(link));
-            let others: Vec<Tag> =
+            let out: Vec<Tag> =
                 self.attempts.iter().filter(|(_, a)| a.link == Some(link)).map(|(t, _)| *t).collect();
-            for other in others {
-                self.ended(now, other, End::bare(Ending::Reset));
+            for tag in out {
+                self.ended(now, tag, End::bare(Ending::Reset));
             }
         }
     }
--- a/src/state/pool.rs
+++ b/src/state/pool.rs
@@ -30,6 +30,8 @@
     /// Attempts whose answers are still to come on it, withdrawn ones too.
     out: usize,
     idle_since: Option<Time>,
+    /// When the last part came of a reply that is not whole.
+    partial: Option<Time>,
     up: bool,
 }
 
@@ -51,6 +53,9 @@
     until: Time,
 }
 
+/// How long a link rests after a reply, while there are others: what a node sends beyond its reply comes right
+/// behind it, and must not be taken for the reply to the next request.
+const SETTLED: Time = 2_000;
 /// For how long a refused connect, while others are up, is taken as the node's cap on connections.
 const CAP_MEMORY: Time = 5_000_000;
 
@@ -76,18 +81,24 @@
     pub fn pick(&mut self, now: Time, node: NodeId, lane: Lane) -> Pick {
         let ids = self.by_node.entry((node, lane)).or_default();
         let links = &mut self.links;
-        let idle = ids.iter().copied().filter(|id| links[id].out == 0).max_by_key(|id| links[id].idle_since);
+        let settled = |id: &LinkId| links[id].idle_since.is_some_and(|since| now - since >= SETTLED);
+        let idle = ids.iter().copied().filter(settled).max_by_key(|id| links[id].idle_since);
         let cap = self.caps.get(&node).filter(|c| c.until > now).map_or(usize::MAX, |c| c.links);
         let may_open = ids.len() < self.limits.links_per_node.min(cap) && links.len() < self.limits.links;
         if let (None, true) = (idle, may_open) {
             let id = self.next;
             self.next += 1;
             ids.push(id);
-            links.insert(id, Link { node, lane, out: 1, idle_since: None, up: false });
+            links.insert(id, Link { node, lane, out: 1, idle_since: None, partial: None, up: false });
             return Pick::Open(id);
         }
         let least = || ids.iter().copied().min_by_key(|id| links[id].out);
-        let Some(id) = idle.or_else(least) else { return Pick::Full };
+        let Some(id) = idle.or_else(least) else {
+            if ids.is_empty() {
+                self.by_node.remove(&(node, lane));
+            }
+            return Pick::Full;
+        };
         match links.get_mut(&id) {
             Some(link) if link.out < self.limits.multiplex => {
                 link.out += 1;
@@ -121,6 +132,18 @@
         since.is_some_and(|since| now - since >= self.limits.idle)
     }
 
+    /// Notes when a part of a reply came, or that nothing of one is left.
+    pub fn set_partial(&mut self, id: LinkId, at: Option<Time>) {
+        if let Some(link) = self.links.get_mut(&id) {
+            link.partial = at;
+        }
+    }
+
+    /// Whether a link is in the middle of a reply of which nothing has come since that time.
+    pub fn is_stuck(&self, since: Time, id: LinkId) -> bool {
+        self.links.get(&id).and_then(|l| l.partial).is_some_and(|at| at <= since)
+    }
+
     /// Notes that a link's connection is there.
     pub fn up(&mut self, id: LinkId) {
         if let Some(link) = self.links.get_mut(&id) {
@@ -136,6 +159,7 @@
         ids.retain(|i| *i != id);
         let others = ids.iter().filter(|i| self.links.get(i).is_some_and(|l| l.up)).count();
         if refused && !link.up && others > 0 {
+            self.caps.retain(|_, cap| cap.until > now);
             self.caps.insert(link.node, Cap { links: others, until: now + CAP_MEMORY });
         }
         if ids.is_empty() {
@@ -166,7 +190,7 @@
     use super::*;
 
     fn pool(links: usize, multiplex: usize) -> Pool {
-        Pool::new(PoolLimits { links, links_per_node: 3, multiplex, idle: 100 })
+        Pool::new(PoolLimits { links, links_per_node: 3, multiplex, idle: 100_000 })
     }
 
     #[test]
@@ -183,9 +207,21 @@
         let mut pool = pool(4, 1);
         let picks = [pool.pick(0, 7, 0), pool.pick(0, 7, 0)];
         assert_eq!(picks, [Pick::Open(0), Pick::Open(1)]);
-        assert_eq!((pool.answered(10, 1), pool.answered(20, 0)), (Some(110), Some(120)));
-        assert_eq!(pool.pick(30, 7, 0), Pick::Use(0));
-        assert!(pool.is_stale(110, 1) && !pool.is_stale(110, 0));
+        let stale = [pool.answered(10_000, 1), pool.answered(20_000, 0)];
+        assert_eq!(stale, [Some(110_000), Some(120_000)]);
+        assert_eq!(pool.pick(30_000, 7, 0), Pick::Use(0));
+        assert!(pool.is_stale(110_000, 1) && !pool.is_stale(110_000, 0));
+    }
+
+    #[test]
+    fn a_link_rests_after_a_reply_unless_there_is_no_other() {
+        let mut pool = pool(2, 4);
+        assert_eq!(pool.pick(0, 7, 0), Pick::Open(0));
+        pool.answered(10_000, 0);
+        assert_eq!(pool.pick(10_000, 7, 0), Pick::Open(1), "what it sends beyond its reply may still come");
+        pool.answered(10_000, 1);
+        assert_eq!(pool.pick(10_100, 7, 0), Pick::Use(0), "there is no other");
+        assert_eq!(pool.pick(10_000 + SETTLED, 7, 0), Pick::Use(1));
     }
 
     #[test]
--- a/src/wire/discovery.rs
+++ b/src/wire/discovery.rs
@@ -71,6 +71,13 @@
         number
     }
 
+    /// Forgets the nodes that are not to be kept. One that comes back has the same number: that is made of its
+    /// name.
+    fn keep(&mut self, keep: impl Fn(NodeId) -> bool) {
+        self.by_name.retain(|_, number| keep(*number));
+        self.taken.retain(|number, _| keep(*number));
+    }
+
     /// The name of a node, for the log.
     pub fn name(&self, number: NodeId) -> Option<&str> {
         self.taken.get(&number).map(String::as_str)
@@ -100,7 +107,13 @@
             let entry_of = NodeEntry { node, zone: zone as u32, shard: entry.cell, state, started };
             Member { entry: entry_of, address: entry.host_port }
         };
-        self.members.into_iter().map(member).collect()
+        let complete = self.complete;
+        let members: Vec<Member> = self.members.into_iter().map(member).collect();
+        numbers.keep(|node| match members.iter().find(|m| m.entry.node == node) {
+            Some(member) => member.entry.state != NodeState::Gone,
+            None => !complete,
+        });
+        members
     }
 }
 
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -133,6 +133,7 @@
         let mut read = BytesMut::new();
         let mut ended = Vec::new();
         let mut part = self.room.part();
+        let mut partial = false;
         loop {
             let waiting = !self.exchange.outbox().is_empty();
             tokio::select! {
@@ -157,6 +158,10 @@
                         tracing::warn!(address = self.address, "node broke the protocol: {e}");
                         return Some(e.to_string());
                     }
+                    if partial || !read.is_empty() {
+                        partial = !read.is_empty();
+                        let _ = self.planner.send(Input::Partial(self.id, partial));
+                    }
                     if read.is_empty() {
                         // An idle link must not pin the buffer of its last reply.
                         read = BytesMut::new();
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -140,3 +140,35 @@
     assert!(matches!(answers[..], [(1, Answer::Refused(_)), (2, Answer::Failed)]), "{answers:?}");
     assert_eq!(b.planner.load(), (0, 0, 0));
 }
+
+/// Guards against waiting until the deadline for the rest of a reply that stopped short: the read goes again.
+#[test]
+fn a_reply_that_stops_short_is_a_reset_soon_and_one_that_goes_on_is_not() {
+    let mut b = Bench::new(4);
+    let input = b.request(ask(1));
+    b.turn(0, vec![input]);
+    assert!(closed(&b.turn(50_000, vec![Input::LinkUp(0), Input::Partial(0, true)])).is_empty());
+    assert!(closed(&b.turn(200_000, vec![Input::Partial(0, true)])).is_empty());
+    assert!(closed(&b.turn(200_000, vec![])).is_empty(), "more of it came meanwhile");
+    let effects = b.turn(200_000, vec![]);
+    assert_eq!((closed(&effects), sent(&effects)), (vec![0], vec![(1, (1, 1))]));
+    let whole = vec![Input::LinkUp(1), Input::Partial(1, true), Input::Partial(1, false)];
+    b.turn(1_000, whole);
+    assert!(closed(&b.turn(900_000, vec![])).is_empty(), "nothing is left of a reply on it");
+    assert_eq!(b.planner.take_counts().endings[Ending::Reset as usize], 1);
+}
+
+/// Guards against keeping what is long gone: nodes that come and go under new names leave nothing behind.
+#[test]
+fn nodes_that_come_and_go_are_forgotten() {
+    let mut b = Bench::new(4);
+    for node in 10..60 {
+        let member = |state| Member { entry: entry(node, 0, state, None), address: "a node".into() };
+        b.turn(1_000_000, vec![Input::Nodes(ListKind::Changes, vec![member(NodeState::Up)])]);
+        b.turn(1_000_000, vec![Input::Nodes(ListKind::Changes, vec![member(NodeState::Gone)])]);
+    }
+    b.turn(200_000_000, vec![]);
+    let input = b.request(ask(1));
+    b.turn(0, vec![input]);
+    assert_eq!(b.planner.known(), (1, 1), "the node that has always been there");
+}
