--- a/src/main.rs
+++ b/src/main.rs
@@ -3,13 +3,18 @@
 
 use claywinch::run::{config::Config, start};
 use std::process::ExitCode;
+use tracing_appender::non_blocking::NonBlockingBuilder;
 use tracing_subscriber::EnvFilter;
 
+/// Lines of the log that may wait to be written.
+const LOG_LINES: usize = 4096;
+
 fn main() -> ExitCode {
     let filter = EnvFilter::try_from_env("CLAYWINCH_LOG").unwrap_or_else(|_| EnvFilter::new("info"));
     // A reader of the log that falls behind must not hold up answers: lines are written by a thread of their
-    // own, and lost where it cannot keep up.
-    let (log, _flushed_at_the_end) = tracing_appender::non_blocking(std::io::stderr());
+    // own, and lost where it cannot keep up. Those that wait count as memory.
+    let (log, _flushed_at_the_end) =
+        NonBlockingBuilder::default().buffered_lines_limit(LOG_LINES).finish(std::io::stderr());
     tracing_subscriber::fmt().with_env_filter(filter).with_ansi(false).with_writer(log).init();
     let outcome = Config::from_env(|name| std::env::var(name).ok())
         .map_err(start::StartError::from)
--- a/src/state/planner.rs
+++ b/src/state/planner.rs
@@ -358,7 +358,8 @@
         let link = attempt.link;
         self.ended(now, tag, End::bare(ending));
         let Some(link) = link else { return };
-        if self.pool.is_shared(link) && !self.requests.contains_key(&tag.0) {
+        let shared = self.attempts.values().any(|a| a.link == Some(link));
+        if shared && !self.requests.contains_key(&tag.0) {
             return;
         }
         self.break_link(now, link, effects);
--- a/src/state/pool.rs
+++ b/src/state/pool.rs
@@ -121,11 +121,6 @@
         Some(now + self.limits.idle)
     }
 
-    /// Whether other attempts than one are on a link.
-    pub fn is_shared(&self, id: LinkId) -> bool {
-        self.links.get(&id).is_some_and(|l| l.out > 1)
-    }
-
     /// Whether a link has been idle for its whole time.
     pub fn is_stale(&self, now: Time, id: LinkId) -> bool {
         let since = self.links.get(&id).and_then(|l| l.idle_since);
--- a/src/wire/discovery.rs
+++ b/src/wire/discovery.rs
@@ -142,6 +142,14 @@
 /// Takes one whole response off the front of what was read; nothing while it is not whole. The flag tells
 /// whether the connection serves another call.
 pub fn decode(read: &mut BytesMut) -> Result<Option<(Response, bool)>, Broken> {
+    // Interim answers only say that the answer is still to come.
+    while read.starts_with(b"HTTP/1.1 1") {
+        match read.windows(4).position(|w| w == b"\r\n\r\n") {
+            Some(end) => drop(read.split_to(end + 4)),
+            None if read.len() > MOST_HEAD => return Err(Broken("response head too long")),
+            None => return Ok(None),
+        }
+    }
     let mut headers = [httparse::EMPTY_HEADER; 64];
     let mut head = httparse::Response::new(&mut headers);
     let start = match head.parse(read).map_err(|_| Broken("not HTTP/1.1"))? {
--- a/src/wire/nbd/server.rs
+++ b/src/wire/nbd/server.rs
@@ -14,6 +14,9 @@
 const MOST_OWED: usize = 64;
 /// Bytes that all of them together may read or write.
 const MOST_OWED_BYTES: u64 = 4 << 20;
+/// Longest data that is thrown away so that what comes behind it can be read: the block size that NBD takes
+/// where a server names none.
+const MOST_SKIPPED: u32 = 32 << 20;
 /// A page of zeroes: holes are written from it over and over.
 static ZEROES: [u8; 4096] = [0; 4096];
 
@@ -168,8 +171,8 @@
     fn option(&mut self, read: &mut BytesMut) -> Result<bool, Broken> {
         let Some((option, length)) = head(read, option_head, "bad option magic")? else { return Ok(false) };
         if length > MOST_OPTION {
-            if option == option::EXPORT_NAME {
-                return Err(Broken("export name too long"));
+            if option == option::EXPORT_NAME || length > MOST_SKIPPED {
+                return Err(Broken("option too long"));
             }
             let _ = read.split_to(16);
             self.skip = u64::from(length);
@@ -274,6 +277,9 @@
         } else {
             let _ = read.split_to(REQUEST_HEAD);
             if ask.command == command::WRITE {
+                if ask.length > MOST_SKIPPED {
+                    return Err(Broken("write too long"));
+                }
                 self.skip = u64::from(ask.length);
             }
         }
