--- a/src/wire/session.rs
+++ b/src/wire/session.rs
@@ -21,8 +21,9 @@
 const LINGER: Duration = Duration::from_millis(100);
 /// How much is read meanwhile: one that goes on sending is not worth more.
 const MOST_LINGERED: usize = 128 * 1024;
-/// How long a connection may have nothing open, or a command unfinished.
-const PATIENCE: Time = 2_100_000;
+/// How long a connection may have nothing open, or a command unfinished: not more, since clients have only so
+/// many connections, and those that ask once and stay would use them up.
+const PATIENCE: Time = 2_000_000;
 /// How long the first command may take from the moment of connecting: a client that sends nothing of use is
 /// told or sent away within 3 s.
 const FIRST_COMMAND: Time = 2_600_000;
