Answer what a cold node has no room for by half of its time, not at its end

Checked: it is not connects (none refused) nor queues at nodes (a cold node gets 2 units a window of some 4 allowed). hopeful() in src/rules.rs counted a cold node as one that could serve the request, by its short queue alone, so at 0.47 of its time nothing was given up. New objects are the same: a cold node takes none. Change: a node has to have cold room for the request to be a hope.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -827,7 +827,8 @@
             Some(_) => holder == Some(n.entry.node),
             None => n.entry.state == NodeState::Up,
         };
-        let nodes: Vec<&Node> = self.nodes.values().filter(may).filter(|n| !n.unwell).collect();
+        let fit = |n: &&Node| !n.unwell && self.cold_room(now, n, request);
+        let nodes: Vec<&Node> = self.nodes.values().filter(may).filter(fit).collect();
         let ahead: f64 = queue.range(..rank).filter_map(|r| self.requests.get(&r.2)).map(|r| r.units).sum();
         let units = ahead / nodes.len().max(1) as f64 + request.units;
         let (average, hope) = (self.average(), if request.looked { 1.0 } else { HOPE });
