Give up by half of its time what an idle node has no room for, where hosts outnumber nodes

They are spare or late work that room() keeps from slow nodes: with 100 hosts a wait of 90 ms a unit holds the others' queues, the bound is 1.3 units. Units out there by the host itself were 0.7 in the mean. Lines at fault: hopeful() in src/rules.rs reckons with the host's own queue only, which is empty. Change: where hosts outnumber nodes, an idle node has to have room at that moment. Test: tests/fleet.rs, all 100 refused late without it.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -273,7 +273,7 @@
             forget_at: now + FORGOTTEN,
             asked: 0.0,
             longest: BTreeMap::new(),
-            pace: Pace::default(),
+            pace: Pace { waits: FIRST_GUESS * 1e-9, depths: 1e-9, at: now },
         })
     }
 
@@ -827,7 +827,10 @@
             Some(_) => holder == Some(n.entry.node),
             None => n.entry.state == NodeState::Up,
         };
-        let fit = |n: &&Node| !n.unwell && self.cold_room(now, n, request);
+        // Where hosts outnumber nodes, waiting for one that nothing of this host is out at brings no news.
+        let often = self.nodes.len() >= self.set.hosts as usize;
+        let idle = |n: &&Node| often || !n.slots.is_empty() || self.room(now, n, request);
+        let fit = |n: &&Node| !n.unwell && self.cold_room(now, n, request) && idle(n);
         let nodes: Vec<&Node> = self.nodes.values().filter(may).filter(fit).collect();
         let ahead: f64 = queue.range(..rank).filter_map(|r| self.requests.get(&r.2)).map(|r| r.units).sum();
         let units = ahead / nodes.len().max(1) as f64 + request.units;
@@ -877,11 +880,7 @@
 
     /// Mean time per unit over all nodes.
     fn average(&self) -> f64 {
-        if self.pace.depths > 0.0 {
-            self.pace.waits / self.pace.depths
-        } else {
-            FIRST_GUESS
-        }
+        self.pace.waits / self.pace.depths
     }
 
     /// Judges a node by its answers. Guards against hangs and cut links: an unwell node gets no new objects
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -31,3 +31,32 @@
     }
     assert!(early > 50 && late <= sent, "{early} refused by half of their time, {late} later, {sent} sent");
 }
+
+/// Guards against late and spare work that is held until shortly before its client gives up, in the hope that an
+/// idle node turns quick: where hosts outnumber nodes, nothing that this host could learn from is out there.
+#[test]
+fn work_without_room_at_an_idle_node_is_not_held_past_half_of_its_time_by_many_hosts() {
+    let play = |hosts: u32| {
+        let mut set = Settings { hosts, ..settings() };
+        (set.plans[0].limit, set.plans[0].weight) = (None, 0.0);
+        let (mut early, mut late) = (0, 0);
+        for host in 0..u64::from(hosts) {
+            let mut s = Drive::new(set.clone());
+            s.nodes(&[(1, 0), (2, 1), (3, 2), (4, 3)]);
+            // Each answer waits behind the work of others.
+            for id in 0..4 {
+                s.request(ask(id));
+                s.wait(200_000);
+                s.served(id, 0, 1, 200_000);
+            }
+            assert!(sends(&s.request(Ask { plan: 0, units: 2.5, ..ask(1000 + host) })).is_empty());
+            for step in 1..=40 {
+                let acts = s.tick(50_000);
+                *(if step <= 20 { &mut early } else { &mut late }) += refused(&acts);
+            }
+        }
+        (early, late)
+    };
+    assert_eq!(play(HOSTS), (HOSTS as usize, 0), "all by half of their time");
+    assert_eq!(play(3), (0, 3), "few hosts hold it as long as there is hope");
+}
