Send cold nodes more by their registered size against the smallest

Lines at fault: cold_room() in src/rules.rs took cold_units for every node; Entry in src/wire/discovery.rs dropped size. Change: size goes from the list into NodeEntry (drill: power_hint where weight_source is nominal or rough), and the even part is cold_units times size over the smallest size listed. Sizes unknown: as before.

--- a/src/bin/claywinch-drill/wire.rs
+++ b/src/bin/claywinch-drill/wire.rs
@@ -3,6 +3,7 @@
 use claywinch::interface::*;
 use claywinch::rules::Scheduler;
 use claywinch::run::settings::{self, micros, Start};
+use claywinch::wire::discovery::thousandths;
 use std::collections::BTreeMap;
 use std::fmt::Write;
 
@@ -267,9 +268,9 @@
             "terminated" => NodeState::Gone,
             value => return f.bad("stage_state", value, "a state"),
         };
-        f.real_or_0("power_hint")?;
+        let size = Some(f.real_or_0("power_hint")?).filter(|_| start.sizes).map_or(0, thousandths);
         let started = Some(f.real_or_0("last_start_s")?).filter(|s| *s > 0.0).map(micros);
-        entries.push(NodeEntry { node, zone, shard, state, started });
+        entries.push(NodeEntry { node, zone, shard, state, started, size });
     }
     Ok(Event::Nodes(kind, entries))
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -157,6 +157,8 @@
     pub state: NodeState,
     /// When it last started, if that was not long ago.
     pub started: Option<Time>,
+    /// Its registered size in thousandths of a unit of no meaning, to compare with others; 0 where none is told.
+    pub size: u32,
 }
 
 /// How a list of nodes is to be read.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -620,11 +620,11 @@
         (node.slots.is_empty() && (quick || unheard)) || below(eased)
     }
 
-    /// This host's even part of what a node that has just started bears in any window, growing only as
-    /// fast as the slowest stated warm-up. Of a node older than this scheduler the former life may have
-    /// used the first window. With many hosts the part is less than a mean request, so each lets through
-    /// as much of its best work as makes the part on average: one in a window, drawn by its number.
-    /// Harm: a node asked for far more than others, all at once, could get too much.
+    /// This host's even part of what a node that has just started bears in any window: what is told for the
+    /// smallest, more by size, growing only as fast as the slowest stated warm-up. Of a node older than this
+    /// scheduler the former life may have used the first window. With many hosts the part is less than a mean
+    /// request, so each lets through as much of its best work as makes the part on average: one in a window,
+    /// drawn by its number. Harm: a node asked for far more than others, all at once, could get too much.
     fn cold_room(&self, now: Time, node: &Node, request: &Request) -> bool {
         let Some(started) = node.entry.started else { return true };
         let (set, age) = (&self.set, now - started);
@@ -637,7 +637,9 @@
         let from = set.cold_from.clamp(0.001, 1.0);
         let proven = (age - set.fall_time).max(0) as f64 / set.cold_time.max(1) as f64;
         let grown = (from + (1.0 - from) * proven.min(1.0)) / from;
-        let part = set.cold_units / f64::from(set.hosts) * grown;
+        let least = self.nodes.values().map(|n| n.entry.size).filter(|s| *s > 0).min().unwrap_or(1);
+        let size = f64::from(node.entry.size.max(least)) / f64::from(least);
+        let part = set.cold_units / f64::from(set.hosts) * grown * size;
         let sent: f64 = node.recent.iter().filter(|(t, _)| *t >= now - set.fall_time).map(|(_, u)| u).sum();
         let windows = (now - self.started) as f64 / set.fall_time.max(1) as f64;
         let usual = (self.asked / self.nodes.len().max(1) as f64 + set.mean_units) / windows.max(0.1);
--- a/src/run/catalogue.rs
+++ b/src/run/catalogue.rs
@@ -398,6 +398,7 @@
                 shard: n.shard,
                 state: if n.state == StateFile::Ready { NodeState::Up } else { NodeState::Draining },
                 started: Some(n.up_since_ms).filter(|ms| *ms > 0).map(|ms| ms * 1000),
+                size: 0,
             };
             Member { entry, address: n.address.clone() }
         };
--- a/src/run/settings.rs
+++ b/src/run/settings.rs
@@ -18,6 +18,8 @@
     pub deadlines: Vec<Time>,
     /// Whether requests of each class write, where the settings tell.
     pub writes: Vec<Option<bool>>,
+    /// Whether the nodes' weights are their registered sizes, exact or rough.
+    pub sizes: bool,
     /// Number of shards, where the settings tell.
     pub shards: Option<u32>,
     /// What the sockets of a real broker are bound by.
@@ -185,6 +187,10 @@
         zones: names(&at.need("localities")?)?,
         deadlines: classes.iter().map(deadline).collect::<Result<_, String>>()?,
         writes,
+        sizes: match at.find("weight_source") {
+            Some(source) => matches!(source.text()?, "nominal" | "rough"),
+            None => false,
+        },
         shards: extra.find("n_shards").map(|v| v.count()).transpose()?,
         bounds: connections(&bounds)?,
         settings: Settings {
--- a/src/wire/discovery.rs
+++ b/src/wire/discovery.rs
@@ -24,6 +24,8 @@
     phase: Phase,
     #[serde(default)]
     up_since_ms: Time,
+    #[serde(default)]
+    size: f64,
 }
 
 /// A node's state in discovery's words.
@@ -84,6 +86,11 @@
     }
 }
 
+/// A size in thousandths; what no size can be counts as none.
+pub fn thousandths(size: f64) -> u32 {
+    (size * 1000.0) as u32
+}
+
 impl Listing {
     /// How the list is to be read.
     pub fn kind(&self) -> ListKind {
@@ -104,7 +111,14 @@
             };
             let node = numbers.number(&entry.id);
             let started = Some(entry.up_since_ms).filter(|ms| *ms > 0).map(|ms| ms * 1000);
-            let entry_of = NodeEntry { node, zone: zone as u32, shard: entry.cell, state, started };
+            let entry_of = NodeEntry {
+                node,
+                zone: zone as u32,
+                shard: entry.cell,
+                state,
+                started,
+                size: thousandths(entry.size),
+            };
             Member { entry: entry_of, address: entry.host_port }
         };
         let complete = self.complete;
--- a/tests/allocations.rs
+++ b/tests/allocations.rs
@@ -87,7 +87,7 @@
         let planner = Planner::new(settings(), 7, 0, limits).expect("good settings");
         let (data, sums) = (vec![7; SIZE as usize], vec![0; SIZE as usize / 32]);
         let mut broker = Broker { planner, stage, now: 1_000_000, data, sums, sent: 0, next: 1 << 32 };
-        let entry = NodeEntry { node: 1, zone: 0, shard: 0, state: NodeState::Up, started: None };
+        let entry = NodeEntry { node: 1, zone: 0, shard: 0, state: NodeState::Up, started: None, size: 0 };
         broker.turn(Input::Nodes(ListKind::Full, vec![Member { entry, address: String::new() }]));
         for _ in 0..2_000 {
             broker.now += 1_000;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -144,7 +144,7 @@
 }
 
 pub fn entry(node: NodeId, shard: ShardId, state: NodeState, started: Option<Time>) -> NodeEntry {
-    NodeEntry { node, zone: shard % 2, shard, state, started }
+    NodeEntry { node, zone: shard % 2, shard, state, started, size: 0 }
 }
 
 /// The sends among actions: request and node.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -60,3 +60,46 @@
     assert_eq!(play(HOSTS), (HOSTS as usize, 0), "all by half of their time");
     assert_eq!(play(3), (0, 3), "few hosts hold it as long as there is hope");
 }
+
+/// Guards against a large node that gets, after its start, only what the smallest bears; and against more than both
+/// bear. The sizes are told by the list.
+#[test]
+fn a_cold_node_of_twice_the_size_is_sent_about_twice_as_much_by_all_hosts() {
+    let mut most = [0.0_f64; 2];
+    let mut sum = [0.0_f64; 2];
+    let window = settings().fall_time / 100_000;
+    let mut sent = vec![[0.0_f64; 2]; 100];
+    for host in 0..u64::from(HOSTS) {
+        let mut s = Drive::new(Settings { hosts: HOSTS, cold_units: 12.0, ..settings() });
+        s.nodes(&[(1, 0), (2, 1), (3, 2), (4, 3)]);
+        s.wait(3_000_000);
+        let cold = |(node, size)| NodeEntry { size, ..entry(node, node - 1, NodeState::Up, Some(s.now)) };
+        let list = [(1, 1000), (2, 2000)].map(cold).to_vec();
+        s.event(Event::Nodes(ListKind::Changes, list));
+        for step in 0..100 {
+            s.wait(100_000);
+            // Every second node that is asked for is warm, and each host asks in a rhythm of its own.
+            if (step + host) % 10 == 0 {
+                let id = host * 1000 + step * 2;
+                let shard = Some(((step / 10 + host) % 4) as ShardId);
+                for (id, node) in sends(&s.request(Ask { shard, ..ask(id) })) {
+                    if node <= 2 {
+                        sent[step as usize][node as usize - 1] += 1.0;
+                    }
+                    s.served(id, 0, node, 20_000);
+                }
+            }
+        }
+    }
+    for (at, now) in sent.iter().enumerate() {
+        for node in 0..2 {
+            let from = (at + 1).saturating_sub(window as usize);
+            most[node] = most[node].max(sent[from..=at].iter().map(|s| s[node]).sum());
+            sum[node] += now[node];
+        }
+    }
+    let ratio = sum[1] / sum[0];
+    assert!((1.2..=2.5).contains(&ratio), "{sum:?} units in all, ratio {ratio}");
+    // Warm by a fifth a second, a node bears three to five times what it bears at first.
+    assert!(most[0] <= 12.0 * 5.0 && most[1] <= 24.0 * 5.0, "{most:?} units in a window");
+}
