Count only nodes that are up when hosts are compared with nodes; mend a check that could not fail

The bound of the third test of tests/fleet.rs was above all that is asked there, and a comment said that hosts have seeds of their own. Change: nodes up are counted; the test has as many gone nodes as hosts; the first window is held against 12 and 24. Measured: with gone nodes counted again all 100 are refused late and the test fails. make test green.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -830,8 +830,8 @@
             None => n.entry.state == NodeState::Up,
         };
         // Where hosts outnumber nodes, waiting for one that nothing of this host is out at brings no news.
-        let often = self.nodes.len() >= self.set.hosts as usize;
-        let idle = |n: &&Node| often || !n.slots.is_empty() || self.room(now, n, request);
+        let up = self.nodes.values().filter(|n| n.entry.state == NodeState::Up).count() as u32;
+        let idle = |n: &&Node| up >= self.set.hosts || !n.slots.is_empty() || self.room(now, n, request);
         let fit = |n: &&Node| !n.unwell && self.cold_room(now, n, request) && idle(n);
         let nodes: Vec<&Node> = self.nodes.values().filter(may).filter(fit).collect();
         let ahead: f64 = queue.range(..rank).filter_map(|r| self.requests.get(&r.2)).map(|r| r.units).sum();
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -4,7 +4,7 @@
 use claywinch::interface::*;
 use common::*;
 
-/// As many hosts as the tests play, each with a seed of its own.
+/// As many hosts as the tests play. Their requests have numbers of their own, by which cold nodes draw.
 const HOSTS: u32 = 100;
 
 fn refused(acts: &[Action]) -> usize {
@@ -42,6 +42,11 @@
         let (mut early, mut late) = (0, 0);
         for host in 0..u64::from(hosts) {
             let mut s = Drive::new(set.clone());
+            // As many nodes as hosts have been replaced lately.
+            let old: Vec<(NodeId, ShardId)> = (1000..1100).map(|node| (node, 9)).collect();
+            if hosts > 3 {
+                s.nodes(&old);
+            }
             s.nodes(&[(1, 0), (2, 1), (3, 2), (4, 3)]);
             // Each answer waits behind the work of others.
             for id in 0..4 {
@@ -65,7 +70,6 @@
 /// bear. The sizes are told by the list.
 #[test]
 fn a_cold_node_of_twice_the_size_is_sent_about_twice_as_much_by_all_hosts() {
-    let mut most = [0.0_f64; 2];
     let mut sum = [0.0_f64; 2];
     let window = settings().fall_time / 100_000;
     let mut sent = vec![[0.0_f64; 2]; 100];
@@ -91,15 +95,15 @@
             }
         }
     }
+    let mut first = [0.0_f64; 2];
     for (at, now) in sent.iter().enumerate() {
         for node in 0..2 {
-            let from = (at + 1).saturating_sub(window as usize);
-            most[node] = most[node].max(sent[from..=at].iter().map(|s| s[node]).sum());
             sum[node] += now[node];
+            first[node] += if at < window as usize { now[node] } else { 0.0 };
         }
     }
     let ratio = sum[1] / sum[0];
     assert!((1.2..=2.5).contains(&ratio), "{sum:?} units in all, ratio {ratio}");
-    // Warm by a fifth a second, a node bears three to five times what it bears at first.
-    assert!(most[0] <= 12.0 * 5.0 && most[1] <= 24.0 * 5.0, "{most:?} units in a window");
+    // Some 50 units are asked of each in its first window, and 12 and 24 are safe.
+    assert!(first[0] <= 12.0 && first[1] <= 24.0, "{first:?} units in the first window");
 }
