--- a/src/main.rs
+++ b/src/main.rs
@@ -5,7 +5,7 @@
 use claywinch::run::commands::Arguments;
 use claywinch::run::config::Config;
 use claywinch::run::error::StartError;
-use claywinch::run::start;
+use claywinch::run::{passed, start};
 use std::process::ExitCode;
 use tracing_appender::non_blocking::NonBlockingBuilder;
 use tracing_subscriber::EnvFilter;
@@ -14,6 +14,8 @@
 const LOG_LINES: usize = 4096;
 
 fn main() -> ExitCode {
+    // Before any thread runs, since it sets variables.
+    let passed = passed::take(|name| std::env::var(name).ok());
     if let Some(command) = Arguments::parse().command {
         return match command.run(&mut std::io::stdout().lock()) {
             Ok(()) => ExitCode::SUCCESS,
@@ -31,10 +33,11 @@
     tracing_subscriber::fmt().with_env_filter(filter).with_ansi(false).with_writer(log).init();
     let outcome =
         Config::from_env(|name| std::env::var(name).ok()).map_err(StartError::from).and_then(|config| {
+            let passed = passed?;
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let runtime = runtime
                 .map_err(|error| StartError::Io { what: "starting the runtime".to_string(), error })?;
-            tokio::task::LocalSet::new().block_on(&runtime, start::run(config))
+            tokio::task::LocalSet::new().block_on(&runtime, start::run(config, passed))
         });
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -375,7 +375,7 @@
                 last_answer: now,
                 ..Node::default()
             });
-            if entry.started != node.entry.started {
+            if (entry.started, entry.state) != (node.entry.started, node.entry.state) {
                 (node.strikes, node.last_answer, node.free_at) = (0, now, now); // It is judged anew.
             }
             if entry.started.is_some_and(|s| now - s < self.set.cold_time) {
--- a/src/run/config.rs
+++ b/src/run/config.rs
@@ -3,6 +3,7 @@
 use super::settings::{self, Start};
 use crate::wire::discovery::Listing;
 use serde::Deserialize;
+use std::path::PathBuf;
 
 /// Where the NBD front's file is, from the root of the repository.
 const NBD_FILE: &str = "deploy/nbd.toml";
@@ -13,6 +14,9 @@
     /// A variable is missing.
     #[error("{0} is not set")]
     Missing(&'static str),
+    /// A variable should be a number.
+    #[error("{0} is {1}, not the number of a descriptor")]
+    Number(&'static str, String),
     /// A file could not be read.
     #[error("{path}: {error}")]
     File {
@@ -53,6 +57,7 @@
     name: Option<String>,
     listen: Option<String>,
     discovery: Option<String>,
+    admin: Option<String>,
     #[serde(default)]
     seed: String,
     #[serde(default)]
@@ -71,6 +76,10 @@
     pub listen: String,
     /// Where discovery is.
     pub discovery: String,
+    /// Where the operators' calls come, if anywhere.
+    pub admin: Option<String>,
+    /// Folder in which a process finds what the one before it left.
+    pub folder: Option<PathBuf>,
     /// For random numbers; new at each start.
     pub seed: u64,
     /// Limits of the deployment.
@@ -117,6 +126,8 @@
             discovery: var("RELAY_DISCOVERY")
                 .or(file.discovery)
                 .ok_or(ConfigError::Missing("RELAY_DISCOVERY"))?,
+            admin: var("RELAY_ADMIN").or(file.admin).filter(|address| !address.is_empty()),
+            folder: var("TMPDIR").filter(|path| !path.is_empty()).map(PathBuf::from),
             seed: u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| u64::from(std::process::id())),
             limits: file.limits,
             known: file.known,
--- a/src/run/front.rs
+++ b/src/run/front.rs
@@ -1,10 +1,13 @@
 //! A front: listens, gives each client a seat and a session, and sweeps their deadlines.
 
 use super::error::{io, StartError};
+use crate::state::phase::Phase;
 use crate::state::planner::{Input, Wire};
 use crate::state::seats::Seats;
 use crate::wire::clock::{Clock, Pulse};
 use crate::wire::session::{serve, Session};
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::mpsc::UnboundedSender;
@@ -42,9 +45,9 @@
     /// Those that are connected.
     pub seats: Seats,
     /// How many there may be.
-    pub most: usize,
-    /// Turns true when they are to be sent away between requests.
-    pub stopping: watch::Receiver<bool>,
+    pub most: Rc<Cell<usize>>,
+    /// The broker's phase.
+    pub phase: watch::Receiver<Phase>,
 }
 
 /// Sweeps the deadlines of a front's clients for good.
@@ -56,25 +59,35 @@
 }
 
 impl<W: Wire> Front<W> {
+    /// Takes connections for as long as the phase allows.
+    pub async fn accept<S: Session<W>>(self, session: impl Fn() -> S) {
+        let mut phase = self.phase.clone();
+        tokio::select! {
+            biased;
+            _ = phase.wait_for(|phase| !phase.accepts()) => {}
+            () = self.take(session) => {}
+        }
+    }
+
     /// Takes connections for good. What the kernel has accepted is owed an answer, so a full house asks those
     /// connections that can be spared to leave, rather than let new ones wait.
-    pub async fn accept<S: Session<W>>(self, session: impl Fn() -> S) {
+    async fn take<S: Session<W>>(&self, session: impl Fn() -> S) {
         let mut said = None;
         loop {
-            while self.seats.len() >= self.most {
+            while self.seats.len() >= self.most.get() {
                 while self.seats.call_spare(self.pulse.now()) {}
                 tokio::time::sleep(FULL_HOUSE).await;
             }
             match self.listener.accept().await {
                 Ok((stream, _)) => {
                     let seat = self.seats.take();
-                    let (planner, stopping) = (self.planner.clone(), self.stopping.clone());
+                    let (planner, phase) = (self.planner.clone(), self.phase.clone());
                     tokio::task::spawn_local(serve(
                         stream,
                         session(),
                         planner,
                         self.pulse.clone(),
-                        stopping,
+                        phase,
                         seat,
                     ));
                 }
--- a/src/run/limits.rs
+++ b/src/run/limits.rs
@@ -22,9 +22,9 @@
 impl Limits {
     /// Shares out descriptors and memory: two thirds of the descriptors to clients, the rest to links; half
     /// the memory to what clients hold, a quarter to their open requests. With the NBD front on, it has a
-    /// quarter of it all, the second of the pair.
-    pub fn share(descriptors: usize, memory_mb: usize, nbd: bool) -> (Self, Self) {
-        let free = descriptors.saturating_sub(RESERVED).max(16);
+    /// quarter of it all, the second of the pair. So many descriptors are set aside for the operators' callers.
+    pub fn share(descriptors: usize, memory_mb: usize, nbd: bool, admin: usize) -> (Self, Self) {
+        let free = descriptors.saturating_sub(RESERVED + admin).max(16);
         let kb = memory_mb * 1024 / 2;
         let part = |free: usize, kb: usize, client_kb: usize| {
             let clients = free * 2 / 3;
@@ -43,7 +43,7 @@
     #[test]
     fn connections_stay_within_descriptors_and_memory() {
         for (nbd, files, mb) in [(false, 1024, 192), (true, 1024, 192), (false, 256, 32)] {
-            let (resp, disk) = Limits::share(files, mb, nbd);
+            let (resp, disk) = Limits::share(files, mb, nbd, 0);
             let fds = resp.clients + resp.links + if nbd { disk.clients + disk.links } else { 0 };
             assert!(fds + RESERVED <= files, "{resp:?} {disk:?}");
             let kb = resp.clients * CLIENT_KB + if nbd { disk.clients * NBD_CLIENT_KB } else { 0 };
@@ -54,6 +54,6 @@
                 "twice what clients hold for requests: {resp:?}"
             );
         }
-        assert!(Limits::share(30, 8, false).0.clients >= 4);
+        assert!(Limits::share(30, 8, false, 0).0.clients >= 4);
     }
 }
--- a/src/run/nbd.rs
+++ b/src/run/nbd.rs
@@ -9,6 +9,7 @@
 use super::settings::Bounds;
 use crate::interface::ListKind;
 use crate::state::agreement::Agreement;
+use crate::state::phase::Phase;
 use crate::state::planner::{Input, Planner};
 use crate::state::pool::PoolLimits;
 use crate::state::room::Room;
@@ -21,6 +22,7 @@
 use crate::wire::nbd::Nbd;
 use crate::wire::session::Numbers;
 use bytes::Bytes;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::signal::unix::{signal, SignalKind};
@@ -38,8 +40,8 @@
     pub seed: u64,
     /// Its connections.
     pub limits: Limits,
-    /// Turns true when clients are to be sent away between requests.
-    pub stopping: watch::Receiver<bool>,
+    /// The broker's phase.
+    pub phase: watch::Receiver<Phase>,
 }
 
 /// The front as it runs.
@@ -135,8 +137,8 @@
         planner: own,
         pulse: place.pulse,
         seats: seats.clone(),
-        most: place.limits.clients,
-        stopping: place.stopping,
+        most: Rc::new(Cell::new(place.limits.clients)),
+        phase: place.phase,
     };
     tokio::task::spawn_local(sweep(seats.clone(), place.clock));
     let accepting = tokio::task::spawn_local(front.accept(move || Client::new(exports.clone(), ids.clone())));
--- a/src/run/start.rs
+++ b/src/run/start.rs
@@ -5,23 +5,32 @@
 use super::error::{io, StartError};
 use super::fleet::Fleet;
 use super::front::{listen, sweep, Front};
+use super::handover::{self, Keeper};
 use super::limits::Limits;
 use super::nbd;
 use super::settings::Start;
 use crate::interface::ListKind;
+use crate::state::handover::Process;
+use crate::state::phase::{Move, Phase};
 use crate::state::planner::{Input, Planner};
 use crate::state::pool::PoolLimits;
 use crate::state::room::Room;
 use crate::state::seats::Seats;
 use crate::state::stage::Through;
+use crate::state::upkeep::Upkeep;
+use crate::wire::admin;
+use crate::wire::admin::desk::{step, Desk};
+use crate::wire::admin::serve::MOST_CALLERS;
 use crate::wire::clock::{Clock, Pulse};
 use crate::wire::discovery::NodeNumbers;
 use crate::wire::resp::client::Node;
 use crate::wire::resp::server::{ClassTerms, Client, Common, Terms};
 use crate::wire::resp::Resp;
 use crate::wire::watch::WatchTask;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::sync::watch;
@@ -61,8 +70,9 @@
     }
 }
 
-/// Runs a broker until it has stopped. Must run inside a [`tokio::task::LocalSet`].
-pub async fn run(config: Config) -> Result<(), StartError> {
+/// Runs a broker until it has stopped; `passed` is the clients' listening socket where the platform holds it. Must
+/// run inside a [`tokio::task::LocalSet`].
+pub async fn run(config: Config, passed: Option<std::net::TcpListener>) -> Result<(), StartError> {
     // Signals first: one that comes before its handler ends the program.
     let mut term = signal(SignalKind::terminate()).map_err(io("SIGTERM"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(io("SIGINT"))?;
@@ -70,28 +80,57 @@
     let clock = Clock::system();
     let deploy = Deploy::load(&config.nbd_file)?;
     let nbd_on = deploy.as_ref().is_some_and(|d| d.listen.is_some());
-    let (limits, nbd_limits) = Limits::share(config.limits.sockets, config.limits.memory_mb, nbd_on);
+    let callers = if config.admin.is_some() { MOST_CALLERS } else { 0 };
+    let share =
+        |of: usize| Limits::share(config.limits.sockets / of, config.limits.memory_mb, nbd_on, callers);
+    let (limits, nbd_limits) = share(1);
     let bounds = config.start.bounds;
+    let (phase, phases) = watch::channel(Phase::default());
+    let phase = Rc::new(phase);
+    let seats = Seats::default();
+    let pulse = Pulse::new(clock);
+    tokio::task::spawn_local(pulse.clone().run());
+
+    // What the process before this one has left, if it may still be running, too.
+    let name = format!("claywinch-{}.handover", config.name.replace(['/', '\\', '.'], "_"));
+    let file = config.folder.filter(|_| passed.is_some() || config.admin.is_some()).map(|f| f.join(name));
+    let left = file.as_deref().and_then(handover::read);
+    let beside = passed.is_some() && left.as_ref().is_some_and(|left| !left.processes.is_empty());
+    let shares = [1, 2].map(|of| (share(of).0.clients, share(of).0.links));
+    let most = Rc::new(Cell::new(shares[usize::from(beside)].0));
     let pool = PoolLimits {
-        links: limits.links,
+        links: shares[usize::from(beside)].1,
         links_per_node: 40,
         multiplex: bounds.multiplex,
         idle: bounds.conn_idle * 3 / 5,
     };
-    let (stop, stopping) = watch::channel(false);
-    let seats = Seats::default();
-    let terms = terms(&config.start);
-    let pulse = Pulse::new(clock);
-    tokio::task::spawn_local(pulse.clone().run());
 
-    let planner = Planner::<Resp>::new(config.start.settings.clone(), config.seed, clock.now(), pool)?;
+    let settings = config.start.settings.clone();
+    let cold = settings.cold_time + settings.fall_time;
+    let planner = Planner::<Resp>::new(settings, config.seed, clock.now(), pool)?;
     let (own, inputs) = unbounded_channel();
     let (wish, wishes) = unbounded_channel();
     let mut numbers = NodeNumbers::default();
-    let revision = config.known.as_ref().map_or(0, |known| known.revision);
+    let mut upkeep = Upkeep::default();
+    let revision = Rc::new(Cell::new(config.known.as_ref().map_or(0, |known| known.revision)));
     // The list last had comes first of all, before any request: it also makes the planner ask for news.
-    let known = config.known.map(|known| known.into_members(&mut numbers, &config.start.zones));
-    let _ = own.send(Input::Nodes(ListKind::Saved, known.unwrap_or_default()));
+    let mut known = config.known.map(|known| known.into_listed(&mut numbers, &config.start.zones));
+    if let Some(left) = left {
+        tracing::info!(
+            revision = left.revision,
+            nodes = left.nodes.len(),
+            calls = left.bans.len(),
+            "taken over"
+        );
+        if left.revision >= revision.get() && !left.nodes.is_empty() {
+            revision.set(left.revision);
+            known = Some(left.nodes.into_iter().map(|n| n.listed(|name| numbers.number(name))).collect());
+        }
+        upkeep.merge(clock.now(), left.bans);
+    }
+    let known = upkeep.list(clock.now(), ListKind::Saved, known.unwrap_or_default());
+    let _ = own.send(Input::Nodes(ListKind::Saved, known));
+    let upkeep = Rc::new(RefCell::new(upkeep));
     let room = Room::new(limits.room);
     let fleet = Fleet {
         name: "resp",
@@ -106,43 +145,84 @@
         room: room.clone(),
     };
     tokio::task::spawn_local(fleet.run(|_| Node::default()));
+    let terms = terms(&config.start);
     let zones = config.start.zones;
     let (moved, address) = watch::channel(config.discovery);
     tokio::task::spawn_local(follow(hangup, config.path, moved));
-    let watcher = WatchTask { address, revision, numbers, zones, wishes, planner: own.clone() };
+    let watcher = WatchTask {
+        address,
+        revision: revision.clone(),
+        numbers,
+        zones,
+        wishes,
+        planner: own.clone(),
+        upkeep: upkeep.clone(),
+        clock,
+    };
     tokio::task::spawn_local(watcher.run());
 
+    let inherited = passed.is_some();
     let front = Front {
-        listener: listen(&config.listen)?,
-        planner: own,
+        listener: match passed {
+            Some(passed) => TcpListener::from_std(passed).map_err(io("the inherited socket"))?,
+            None => listen(&config.listen)?,
+        },
+        planner: own.clone(),
         pulse: pulse.clone(),
         seats: seats.clone(),
-        most: limits.clients,
-        stopping: stopping.clone(),
+        most: most.clone(),
+        phase: phases.clone(),
     };
-    let common = Rc::new(Common::new(terms, room));
-    let accepting = tokio::task::spawn_local(front.accept(move || Client::new(common.clone())));
+    let common = Rc::new(Common::new(terms, room, phases.clone()));
+    tokio::task::spawn_local(front.accept(move || Client::new(common.clone())));
     tokio::task::spawn_local(sweep(seats.clone(), clock));
     let nbd = match deploy.filter(|_| nbd_on) {
         None => None,
         Some(deploy) => {
-            let place = nbd::Place { clock, pulse, seed: config.seed, limits: nbd_limits, stopping };
+            let phase = phases.clone();
+            let place = nbd::Place { clock, pulse, seed: config.seed, limits: nbd_limits, phase };
             Some(nbd::start(deploy, config.nbd_file, place, bounds)?)
         }
     };
-    tracing::info!(name = config.name, listen = config.listen, ?limits, "serving");
+    let (keeper, wanted) = unbounded_channel();
+    let successor = Rc::new(Cell::new(false));
+    let id = config.seed ^ u64::from(std::process::id()).rotate_left(32);
+    if let Some(path) = &file {
+        let task = Keeper {
+            path: path.clone(),
+            own: Process { id, started: clock.now(), ready: false, beat: 0 },
+            upkeep: upkeep.clone(),
+            revision,
+            wishes: wanted,
+            planner: own.clone(),
+            phase: phases.clone(),
+            cold,
+            shares,
+            clients: most,
+            successor: successor.clone(),
+            clock,
+        };
+        tokio::task::spawn_local(task.run(beside));
+    }
+    if let Some(address) = &config.admin {
+        let keeper = file.is_some().then_some(keeper);
+        let desk = Rc::new(Desk { phase: phase.clone(), upkeep, planner: own, keeper, clock });
+        let callers = Seats::default();
+        tokio::task::spawn_local(sweep(callers.clone(), clock));
+        tokio::task::spawn_local(admin::serve::accept(listen(address)?, desk, callers));
+        tracing::info!(address, "operators' calls");
+    }
+    let _ = step(&phase, Move::Started, clock);
+    tracing::info!(name = config.name, listen = config.listen, inherited, beside, ?limits, "serving");
 
     tokio::select! {
         _ = term.recv() => {}
         _ = interrupt.recv() => {}
     }
-    tracing::info!(clients = seats.len(), "stopping");
+    tracing::info!(clients = seats.len(), successor = successor.get(), "stopping");
+    let _ = step(&phase, Move::Stop(successor.get()), clock);
     tokio::time::sleep(STILL_ACCEPTING).await;
-    accepting.abort();
-    if let Some(nbd) = &nbd {
-        nbd.accepting.abort();
-    }
-    let _ = stop.send(true);
+    let _ = step(&phase, Move::Close, clock);
     let empty = || seats.is_empty() && nbd.as_ref().is_none_or(|n| n.seats.is_empty());
     let emptied = async {
         while !empty() {
@@ -158,5 +238,8 @@
         }
         Err(_) => tracing::warn!(clients = seats.len(), "stopped with clients unanswered"),
     }
+    if let Some(path) = &file {
+        handover::leave(path, id);
+    }
     Ok(())
 }
--- /dev/null
+++ b/src/state/handover.rs
@@ -0,0 +1,220 @@
+//! What one process of a broker leaves for the next, and what both tell one another while they run side by side: a
+//! text with a head that names its version, its length and its checksum. Reading and writing files is not done
+//! here.
+
+use super::planner::Member;
+use super::upkeep::{Ban, Listed};
+use crate::interface::{NodeEntry, NodeId, NodeState, ShardId, Time};
+use serde::{Deserialize, Serialize};
+
+/// The first word of the head, with the version of what follows.
+const HEAD: &str = "claywinch-handover-1";
+/// Longest text that is read: thousands of nodes.
+pub const MOST_BYTES: usize = 4 << 20;
+/// Most processes that are noted: more can't run side by side.
+const MOST_PROCESSES: usize = 8;
+/// A process that has not been heard of for so long has ended.
+const ALIVE: Time = 2_000_000;
+
+/// Why a text is of no use.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Unusable {
+    /// It is longer than any of ours.
+    #[error("too long")]
+    TooLong,
+    /// It does not begin as ours do, or is of another version.
+    #[error("not a hand-over of this version")]
+    Head,
+    /// It was cut off or changed.
+    #[error("its checksum does not fit")]
+    Damaged,
+    /// It holds something else than it should.
+    #[error("{0}")]
+    Content(String),
+}
+
+/// A process of the broker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Process {
+    /// Drawn at its start.
+    pub id: u64,
+    /// When it started.
+    pub started: Time,
+    /// Whether it serves and will go on.
+    pub ready: bool,
+    /// When it was last heard of.
+    pub beat: Time,
+}
+
+/// A node as the list said.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeLeft {
+    name: String,
+    address: String,
+    zone: u32,
+    shard: ShardId,
+    draining: bool,
+    started: Option<Time>,
+    size: u32,
+}
+
+impl From<&Listed> for NodeLeft {
+    fn from(listed: &Listed) -> Self {
+        let (entry, address) = (&listed.member.entry, &listed.member.address);
+        NodeLeft {
+            name: listed.name.clone(),
+            address: address.clone(),
+            zone: entry.zone,
+            shard: entry.shard,
+            draining: entry.state != NodeState::Up,
+            started: entry.started,
+            size: entry.size,
+        }
+    }
+}
+
+impl NodeLeft {
+    /// As a list names it, with its number.
+    pub fn listed(self, number: impl FnOnce(&str) -> NodeId) -> Listed {
+        let state = if self.draining { NodeState::Draining } else { NodeState::Up };
+        let (zone, shard, started, size) = (self.zone, self.shard, self.started, self.size);
+        let entry = NodeEntry { node: number(&self.name), zone, shard, state, started, size };
+        Listed { name: self.name, member: Member { entry, address: self.address } }
+    }
+}
+
+/// What is handed over.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Handover {
+    /// The processes that run.
+    pub processes: Vec<Process>,
+    /// The operators' last calls about nodes.
+    pub bans: Vec<Ban>,
+    /// Version of the list.
+    pub revision: u64,
+    /// The nodes of the list.
+    pub nodes: Vec<NodeLeft>,
+}
+
+impl Handover {
+    /// The text that stands for it.
+    pub fn encode(&self) -> Vec<u8> {
+        let body = serde_json::to_vec(self).unwrap_or_default();
+        let mut text = format!("{HEAD} {} {:08x}\n", body.len(), crc32c::crc32c(&body)).into_bytes();
+        text.extend(body);
+        text
+    }
+
+    /// Reads such a text.
+    pub fn decode(text: &[u8]) -> Result<Self, Unusable> {
+        if text.len() > MOST_BYTES {
+            return Err(Unusable::TooLong);
+        }
+        let head = format!("{HEAD} ");
+        let rest = text.strip_prefix(head.as_bytes()).ok_or(Unusable::Head)?;
+        let end = rest.iter().position(|b| *b == b'\n').ok_or(Unusable::Head)?;
+        let (figures, body) = (String::from_utf8_lossy(&rest[..end]), &rest[end + 1..]);
+        if figures != format!("{} {:08x}", body.len(), crc32c::crc32c(body)) {
+            return Err(Unusable::Damaged);
+        }
+        serde_json::from_slice(body).map_err(|e| Unusable::Content(e.to_string()))
+    }
+
+    /// Notes that a process runs; those that have not been heard of for long are dropped.
+    pub fn note(&mut self, own: Process) {
+        self.processes.retain(|p| p.id != own.id && own.beat - p.beat < 5 * ALIVE);
+        self.processes.truncate(MOST_PROCESSES - 1);
+        self.processes.push(own);
+    }
+
+    /// Notes that a process ends.
+    pub fn forget(&mut self, id: u64) {
+        self.processes.retain(|p| p.id != id);
+    }
+
+    /// Whether a process that started later serves in the place of one.
+    pub fn has_successor(&self, own: &Process, now: Time) -> bool {
+        let later = |p: &&Process| (p.started, p.id) > (own.started, own.id) && p.ready;
+        self.processes.iter().filter(later).any(|p| now - p.beat < ALIVE)
+    }
+
+    /// Whether another process than one still runs.
+    pub fn has_others(&self, own: &Process, now: Time) -> bool {
+        self.processes.iter().any(|p| p.id != own.id && now - p.beat < ALIVE)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const S: Time = 1_000_000;
+
+    fn process(id: u64, started: Time, ready: bool, beat: Time) -> Process {
+        Process { id, started, ready, beat }
+    }
+
+    fn full() -> Handover {
+        let ban = Ban { name: "a".into(), node: 1, at: 5, out: true };
+        let node = NodeLeft {
+            name: "a".into(),
+            address: "127.0.0.1:1".into(),
+            zone: 1,
+            shard: 2,
+            draining: false,
+            started: Some(9),
+            size: 700,
+        };
+        Handover { processes: vec![process(1, 0, true, 1)], bans: vec![ban], revision: 41, nodes: vec![node] }
+    }
+
+    /// Guards against a start on half a file, or on one that something else wrote.
+    #[test]
+    fn only_a_whole_text_of_this_version_is_taken() {
+        let text = full().encode();
+        assert_eq!(Handover::decode(&text), Ok(full()));
+        for cut in 0..text.len() {
+            assert!(Handover::decode(&text[..cut]).is_err(), "cut at {cut}");
+        }
+        for at in 0..text.len() {
+            let mut flipped = text.clone();
+            flipped[at] ^= 4;
+            assert!(Handover::decode(&flipped).is_err(), "flipped at {at}");
+        }
+        let later = String::from_utf8_lossy(&text).replacen("handover-1", "handover-2", 1);
+        assert_eq!(Handover::decode(later.as_bytes()), Err(Unusable::Head));
+        assert_eq!(Handover::decode(&vec![b'x'; MOST_BYTES + 1]), Err(Unusable::TooLong));
+    }
+
+    #[test]
+    fn a_node_is_listed_again_as_it_was() {
+        let left = full().nodes.remove(0);
+        let listed = left.clone().listed(|_| 7);
+        assert_eq!((listed.member.entry.node, listed.member.entry.started), (7, Some(9)));
+        assert_eq!(NodeLeft::from(&listed), left);
+    }
+
+    /// Guards against an old process that gives way to one which died or never got ready.
+    #[test]
+    fn a_successor_is_ready_and_alive_and_started_later() {
+        let own = process(1, 10 * S, true, 10 * S);
+        let with = |other: Process| {
+            let mut handover = Handover::default();
+            handover.note(own);
+            handover.note(other);
+            handover
+        };
+        let now = 30 * S;
+        assert!(with(process(2, 20 * S, true, 29 * S)).has_successor(&own, now));
+        assert!(!with(process(2, 20 * S, false, 29 * S)).has_successor(&own, now), "not ready");
+        assert!(!with(process(2, 20 * S, true, 27 * S)).has_successor(&own, now), "it died");
+        assert!(!with(process(2, 5 * S, true, 29 * S)).has_successor(&own, now), "it was there before");
+        assert!(with(process(2, 5 * S, true, 29 * S)).has_others(&own, now));
+        assert!(!with(process(1, 10 * S, true, 29 * S)).has_others(&own, now), "itself");
+        let mut handover = with(process(2, 20 * S, true, 29 * S));
+        handover.forget(2);
+        assert!(!handover.has_others(&own, now));
+        (0..100).for_each(|i| handover.note(process(i, 0, true, now)));
+        assert!(handover.processes.len() <= MOST_PROCESSES);
+    }
+}
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -3,10 +3,13 @@
 
 pub mod agreement;
 pub mod deadlines;
+pub mod handover;
 pub mod integrity;
+pub mod phase;
 pub mod planner;
 pub mod pool;
 pub mod room;
 pub mod scrub;
 pub mod seats;
 pub mod stage;
+pub mod upkeep;
--- /dev/null
+++ b/src/state/phase.rs
@@ -0,0 +1,168 @@
+//! The phase that the broker is in: the one source for what `PING` and `HEALTH` say, for whether connections are
+//! taken, and for when one between requests is closed. Time is handed in.
+
+use crate::interface::Time;
+
+/// How long a connection without a request may be kept while clients are sent away: one in use is closed right
+/// after its next answer, which crosses nothing; closing any other may cross a request on its way.
+const QUIET: Time = 600_000;
+/// After this nothing is read any more from clients that are sent away, so that four seconds after the call no
+/// request of the last two is held.
+const LATEST: Time = 1_600_000;
+/// The same where another process has taken over: what comes later than 0.7 s after the signal is owed an answer
+/// that there may be no time for.
+const QUIET_HANDING: Time = 300_000;
+/// See `QUIET_HANDING`.
+const LATEST_HANDING: Time = 600_000;
+
+/// What the broker is about; the times say since when.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Phase {
+    /// It does not serve yet.
+    #[default]
+    Starting,
+    /// It serves.
+    Serving,
+    /// Staff empty it: new connections are still served, but each is closed after an answer.
+    Leaving(Time),
+    /// It was told to stop: connections are taken and kept for a moment more, since clients learn of it late.
+    Stopping,
+    /// It was told to stop and another process takes its connections.
+    HandingOver(Time),
+    /// It takes no connection any more and closes each between requests.
+    Closing,
+}
+
+/// What can move it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Move {
+    /// It listens and has its settings.
+    Started,
+    /// Staff empty it.
+    Leave,
+    /// Staff take it back into use.
+    Join,
+    /// It is told to stop; true if another process serves in its place.
+    Stop(bool),
+    /// Connections were taken for long enough after that.
+    Close,
+}
+
+/// Why a move is not made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum NotNow {
+    /// There is no way back from stopping.
+    #[error("the broker is stopping")]
+    Stopping,
+}
+
+impl Phase {
+    /// The phase after a move. A call that is repeated changes nothing, nor its time.
+    pub fn after(self, what: Move, now: Time) -> Result<Phase, NotNow> {
+        let stopping = matches!(self, Phase::Stopping | Phase::HandingOver(_) | Phase::Closing);
+        Ok(match (what, self) {
+            (Move::Started, Phase::Starting) => Phase::Serving,
+            (Move::Leave, Phase::Starting | Phase::Serving) => Phase::Leaving(now),
+            (Move::Join, _) if stopping => return Err(NotNow::Stopping),
+            (Move::Join, Phase::Leaving(_)) => Phase::Serving,
+            (Move::Stop(true), _) if !stopping => Phase::HandingOver(now),
+            // Staff have emptied it before: nobody is sent here any more.
+            (Move::Stop(false), Phase::Leaving(_)) => Phase::HandingOver(now),
+            (Move::Stop(false), _) if !stopping => Phase::Stopping,
+            (Move::Close, _) => Phase::Closing,
+            (_, same) => same,
+        })
+    }
+
+    /// Whether clients are welcome: what `PING` says.
+    pub fn welcomes(self) -> bool {
+        matches!(self, Phase::Serving | Phase::Stopping)
+    }
+
+    /// Whether a client that is sent here now is served, as far as it depends on this: what `HEALTH` says.
+    pub fn serves(self) -> bool {
+        self == Phase::Serving
+    }
+
+    /// Whether connections are taken.
+    pub fn accepts(self) -> bool {
+        !matches!(self, Phase::HandingOver(_) | Phase::Closing)
+    }
+
+    /// Whether the process is about to end.
+    pub fn stops(self) -> bool {
+        matches!(self, Phase::HandingOver(_) | Phase::Closing)
+    }
+
+    /// When a connection between requests is to be closed that was last of use at `since`: never, if nothing. It
+    /// has had an `answer` then, or else has only been opened.
+    pub fn closes_at(self, since: Time, answer: bool) -> Option<Time> {
+        let (at, quiet, latest) = match self {
+            Phase::Leaving(at) => (at, QUIET, LATEST),
+            Phase::HandingOver(at) => (at, QUIET_HANDING, LATEST_HANDING),
+            Phase::Closing => return Some(since),
+            _ => return None,
+        };
+        Some(if answer && since > at { since } else { (at.max(since) + quiet).min(at + latest) })
+    }
+
+    /// From when on nothing more is read of a client, if it ever stops so.
+    pub fn deaf_at(self) -> Option<Time> {
+        match self {
+            Phase::Leaving(at) => Some(at + LATEST),
+            Phase::HandingOver(at) => Some(at + LATEST_HANDING),
+            _ => None,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const S: Time = 1_000_000;
+
+    fn walk(moves: &[(Time, Move)]) -> Phase {
+        let step = |phase: Phase, (at, what): &(Time, Move)| phase.after(*what, *at).unwrap_or(phase);
+        moves.iter().fold(Phase::default(), step)
+    }
+
+    /// Guards against a repeated call that draws the drain out, and a way back from stopping.
+    #[test]
+    fn calls_may_come_in_any_order_and_more_than_once() {
+        let started = (0, Move::Started);
+        assert_eq!(walk(&[started, (S, Move::Leave), (3 * S, Move::Leave)]), Phase::Leaving(S));
+        assert_eq!(walk(&[started, (S, Move::Join)]), Phase::Serving, "without a drain before");
+        assert_eq!(walk(&[started, (S, Move::Leave), (2 * S, Move::Join)]), Phase::Serving);
+        let again = [started, (S, Move::Leave), (2 * S, Move::Join), (5 * S, Move::Leave)];
+        assert_eq!(walk(&again), Phase::Leaving(5 * S));
+        assert_eq!(walk(&[started, (S, Move::Leave), (2 * S, Move::Stop(false))]), Phase::HandingOver(2 * S));
+        let stopped = [started, (S, Move::Stop(true)), (2 * S, Move::Leave), (3 * S, Move::Started)];
+        assert_eq!(walk(&stopped), Phase::HandingOver(S));
+        assert_eq!(Phase::Stopping.after(Move::Join, S), Err(NotNow::Stopping));
+        assert_eq!(walk(&[started, (S, Move::Stop(false)), (2 * S, Move::Close)]), Phase::Closing);
+    }
+
+    #[test]
+    fn what_it_says_and_takes_follows_from_the_phase() {
+        let told = |p: Phase| (p.welcomes(), p.serves(), p.accepts());
+        assert_eq!(told(Phase::Starting), (false, false, true));
+        assert_eq!(told(Phase::Serving), (true, true, true));
+        assert_eq!(told(Phase::Leaving(S)), (false, false, true), "fronts learn of it late");
+        assert_eq!(told(Phase::Stopping), (true, false, true));
+        assert_eq!(told(Phase::HandingOver(S)), (false, false, false), "the next process takes them");
+    }
+
+    /// Guards against a connection that is held on, idle or with a late request, four seconds after the call.
+    #[test]
+    fn a_connection_closes_after_an_answer_and_none_stays_long() {
+        assert_eq!(Phase::Serving.closes_at(0, true), None);
+        let leaving = Phase::Leaving(10 * S);
+        assert_eq!(leaving.closes_at(12 * S, true), Some(12 * S), "right after its answer");
+        assert_eq!(leaving.closes_at(2 * S, true), Some(10 * S + QUIET), "it was idle before");
+        assert_eq!(leaving.closes_at(10 * S + 100_000, false), Some(10 * S + 100_000 + QUIET), "just come");
+        assert_eq!(leaving.closes_at(13 * S, false), Some(10 * S + LATEST));
+        assert!(leaving.deaf_at() < Some(12 * S), "what is read has two seconds to be answered");
+        assert!(Phase::HandingOver(10 * S).deaf_at() < Some(10 * S + 700_000));
+    }
+}
--- a/src/state/planner.rs
+++ b/src/state/planner.rs
@@ -9,6 +9,7 @@
 use crate::rules::Scheduler;
 use std::collections::BTreeMap;
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
 
 /// What is spoken with clients and nodes. The planner only hands both types through.
 pub trait Wire: 'static {
@@ -99,6 +100,10 @@
     Nodes(ListKind, Vec<Member>),
     /// A probe ended.
     Probed(NodeId, Ending, Option<f64>),
+    /// So many links there may be from now on.
+    Links(usize),
+    /// Whoever holds the other end is told once the turn is over that took all before this.
+    Reached(oneshot::Sender<()>),
 }
 
 /// What is to be done, in this order.
@@ -186,6 +191,8 @@
     events: Vec<Event>,
     actions: Vec<Action>,
     counts: Counts,
+    /// Who wants to know that this turn is over.
+    reached: Vec<oneshot::Sender<()>>,
 }
 
 impl<W: Wire> Planner<W> {
@@ -202,6 +209,7 @@
             events: Vec::new(),
             actions: Vec::new(),
             counts: Counts::default(),
+            reached: Vec::new(),
         })
     }
 
@@ -270,7 +278,7 @@
                 }
                 Deadline::Whole(link) => {
                     if self.pool.is_stuck(now - WHOLE, link) {
-                        self.break_link(now, link, effects);
+                        self.break_link(now, link, Ending::Reset, effects);
                     }
                 }
             }
@@ -286,6 +294,10 @@
             }
             self.actions = actions;
         }
+        for waiting in self.reached.drain(..) {
+            // Whoever has stopped waiting need not be told.
+            let _ = waiting.send(());
+        }
     }
 
     fn input(&mut self, now: Time, input: Input<W>, effects: &mut Vec<Effect<W>>) {
@@ -334,6 +346,10 @@
                             self.pool.remove(now, link, false);
                             effects.push(Effect::Close(link));
                         }
+                        // What waits for a connection would be written after it: nothing new may go there.
+                        for link in self.pool.coming_up_of(member.entry.node) {
+                            self.break_link(now, link, Ending::Unreachable, effects);
+                        }
                     }
                     match member.entry.state {
                         NodeState::Gone => drop(self.addresses.remove(&member.entry.node)),
@@ -344,6 +360,13 @@
                 self.events.push(Event::Nodes(kind, entries));
             }
             Input::Probed(node, ending, util) => self.events.push(Event::Probed(node, ending, util)),
+            Input::Links(most) => {
+                for link in self.pool.bound(most) {
+                    self.pool.remove(now, link, false);
+                    effects.push(Effect::Close(link));
+                }
+            }
+            Input::Reached(waiting) => self.reached.push(waiting),
         }
     }
 
@@ -389,17 +412,17 @@
         if shared && !self.requests.contains_key(&tag.0) {
             return;
         }
-        self.break_link(now, link, effects);
+        self.break_link(now, link, Ending::Reset, effects);
     }
 
     /// Closes a link under whatever is out on it.
-    fn break_link(&mut self, now: Time, link: LinkId, effects: &mut Vec<Effect<W>>) {
+    fn break_link(&mut self, now: Time, link: LinkId, ending: Ending, effects: &mut Vec<Effect<W>>) {
         if self.pool.remove(now, link, false) {
             effects.push(Effect::Close(link));
             let out: Vec<Tag> =
                 self.attempts.iter().filter(|(_, a)| a.link == Some(link)).map(|(t, _)| *t).collect();
             for tag in out {
-                self.ended(now, tag, End::bare(Ending::Reset));
+                self.ended(now, tag, End::bare(ending));
             }
         }
     }
--- a/src/state/pool.rs
+++ b/src/state/pool.rs
@@ -169,6 +169,22 @@
         lanes.flat_map(|(_, ids)| ids).copied().filter(|id| self.links[id].out == 0).collect()
     }
 
+    /// The links of a node whose connections are not there yet.
+    pub fn coming_up_of(&self, node: NodeId) -> Vec<LinkId> {
+        let lanes = self.by_node.range((node, Lane::MIN)..=(node, Lane::MAX));
+        lanes.flat_map(|(_, ids)| ids).copied().filter(|id| !self.links[id].up).collect()
+    }
+
+    /// Sets how many links there may be. Gives the idle ones that are too many, those unused for longest first.
+    pub fn bound(&mut self, links: usize) -> Vec<LinkId> {
+        self.limits.links = links;
+        let since = |(id, l): (&LinkId, &Link)| l.idle_since.map(|since| (since, *id));
+        let mut idle: Vec<(Time, LinkId)> = self.links.iter().filter_map(since).collect();
+        idle.sort_unstable();
+        let over = self.links.len().saturating_sub(links);
+        idle.into_iter().take(over).map(|(_, id)| id).collect()
+    }
+
     /// How many links there are.
     pub fn len(&self) -> usize {
         self.links.len()
@@ -208,6 +224,21 @@
         assert!(pool.is_stale(110_000, 1) && !pool.is_stale(110_000, 0));
     }
 
+    /// Guards against two processes that together hold more than one may.
+    #[test]
+    fn a_bound_that_shrinks_lets_idle_links_go_first() {
+        let mut pool = pool(8, 1);
+        let picks = [0; 3].map(|_| pool.pick(0, 7, 0));
+        assert_eq!(picks, [Pick::Open(0), Pick::Open(1), Pick::Open(2)]);
+        pool.answered(20, 1);
+        pool.answered(10, 2);
+        assert_eq!(pool.bound(2), [2], "the one unused for longest");
+        pool.remove(30, 2, false);
+        assert_eq!(pool.bound(1), [1]);
+        pool.remove(30, 1, false);
+        assert_eq!((pool.bound(1), pool.pick(30, 8, 0)), (vec![], Pick::Full));
+    }
+
     #[test]
     fn a_link_rests_after_a_reply_unless_there_is_no_other() {
         let mut pool = pool(2, 4);
--- /dev/null
+++ b/src/state/upkeep.rs
@@ -0,0 +1,273 @@
+//! What staff have taken out for maintenance, laid over every list of nodes. The planner is told of such a node as
+//! draining, whatever the list says, so the scheduler's rule on drains is all that is needed.
+
+use super::planner::Member;
+use crate::interface::{ListKind, NodeEntry, NodeId, NodeState, Time};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Most names that are remembered as once listed: what is needed to say no to one that never was.
+const MOST_NAMES: usize = 8192;
+/// Most nodes that may be out at once.
+const MOST_OUT: usize = 1024;
+/// How long a call that put a node back is remembered, so that another process which missed it learns of it.
+const CALL_MEMORY: Time = 60_000_000;
+
+/// A node of a list with the name that staff know it by.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listed {
+    /// Its name.
+    pub name: String,
+    /// What the planner is told.
+    pub member: Member,
+}
+
+/// The last call about a node.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ban {
+    /// Its name.
+    pub name: String,
+    /// Its number.
+    pub node: NodeId,
+    /// When the call came.
+    pub at: Time,
+    /// Whether it took the node out, or put it back.
+    pub out: bool,
+}
+
+/// Why a call changes nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Refused {
+    /// No list has ever named the node.
+    #[error("no such node was ever listed")]
+    NeverListed,
+    /// Too many are out.
+    #[error("too many nodes are out")]
+    TooMany,
+}
+
+/// Nodes as last listed, and which of them staff have taken out.
+#[derive(Debug, Default)]
+pub struct Upkeep {
+    /// As the list says, without what is laid over it; those that are gone are not among them.
+    nodes: BTreeMap<NodeId, Listed>,
+    /// Every name that was listed, with its number and when it was last; the oldest go first.
+    names: BTreeMap<String, (NodeId, u64)>,
+    seen: BTreeMap<u64, String>,
+    next: u64,
+    /// The last calls by name; those that put a node back end after a while.
+    bans: BTreeMap<String, Ban>,
+    /// How long after its start a node is left to the process that takes over, if one does.
+    left_cold: Option<Time>,
+}
+
+impl Upkeep {
+    /// Takes a list and gives it as the planner is to be told.
+    pub fn list(&mut self, now: Time, kind: ListKind, list: Vec<Listed>) -> Vec<Member> {
+        if matches!(kind, ListKind::Full | ListKind::Saved) {
+            self.nodes.clear();
+        }
+        let mut told = Vec::with_capacity(list.len());
+        for listed in list {
+            self.remember(&listed.name, listed.member.entry.node);
+            told.push(self.laid_over(now, &listed));
+            match listed.member.entry.state {
+                NodeState::Gone => drop(self.nodes.remove(&listed.member.entry.node)),
+                _ => drop(self.nodes.insert(listed.member.entry.node, listed)),
+            }
+        }
+        self.bans.retain(|_, ban| ban.out || now - ban.at < CALL_MEMORY);
+        told
+    }
+
+    fn remember(&mut self, name: &str, node: NodeId) {
+        if let Some((_, before)) = self.names.get(name) {
+            self.seen.remove(before);
+        }
+        self.next += 1;
+        self.names.insert(name.to_string(), (node, self.next));
+        self.seen.insert(self.next, name.to_string());
+        if self.names.len() > MOST_NAMES {
+            if let Some((_, oldest)) = self.seen.pop_first() {
+                self.names.remove(&oldest);
+            }
+        }
+    }
+
+    fn laid_over(&self, now: Time, listed: &Listed) -> Member {
+        let mut member = listed.member.clone();
+        let entry = &mut member.entry;
+        if entry.state == NodeState::Up && (self.is_out(&listed.name) || self.is_left(now, entry)) {
+            entry.state = NodeState::Draining;
+        }
+        member
+    }
+
+    fn is_out(&self, name: &str) -> bool {
+        self.bans.get(name).is_some_and(|ban| ban.out)
+    }
+
+    fn is_left(&self, now: Time, entry: &NodeEntry) -> bool {
+        let age = entry.started.map(|started| now - started);
+        self.left_cold.zip(age).is_some_and(|(cold, age)| age < cold)
+    }
+
+    /// Takes a node out, or puts it back. Gives what the planner is to be told: nothing if it is so already, or if
+    /// the list does not name the node now.
+    pub fn call(&mut self, now: Time, name: &str, out: bool) -> Result<Vec<Member>, Refused> {
+        let known = self.names.get(name).map(|(node, _)| *node);
+        let node = known.or(self.bans.get(name).map(|ban| ban.node)).ok_or(Refused::NeverListed)?;
+        if out && !self.is_out(name) && self.bans.values().filter(|ban| ban.out).count() >= MOST_OUT {
+            return Err(Refused::TooMany);
+        }
+        let at = self.bans.get(name).map_or(now, |last| now.max(last.at + 1));
+        Ok(self.take(now, Ban { name: name.to_string(), node, at, out }))
+    }
+
+    /// Takes the calls that another process has had: of two about one node the later holds.
+    pub fn merge(&mut self, now: Time, bans: Vec<Ban>) -> Vec<Member> {
+        let later = |ban: &Ban, own: &BTreeMap<String, Ban>| own.get(&ban.name).is_none_or(|o| ban.at > o.at);
+        let mut told = Vec::new();
+        for ban in bans.into_iter().take(2 * MOST_OUT) {
+            if later(&ban, &self.bans) && (ban.out || self.bans.contains_key(&ban.name)) {
+                told.extend(self.take(now, ban));
+            }
+        }
+        told
+    }
+
+    fn take(&mut self, now: Time, ban: Ban) -> Vec<Member> {
+        let (before, node) = (self.is_out(&ban.name), ban.node);
+        if ban.out == before && before {
+            return Vec::new();
+        }
+        let after = ban.out;
+        if after || before {
+            tracing::info!(node = ban.name, out = after, "maintenance");
+            self.bans.insert(ban.name.clone(), ban);
+        }
+        let listed = self.nodes.get(&node).filter(|_| before != after);
+        listed.map(|listed| self.laid_over(now, listed)).into_iter().collect()
+    }
+
+    /// Leaves nodes that started less than `cold` ago to the process that takes over, or no longer. Gives what the
+    /// planner is to be told.
+    pub fn leave_cold(&mut self, now: Time, cold: Option<Time>) -> Vec<Member> {
+        if self.left_cold == cold {
+            return Vec::new();
+        }
+        let before = std::mem::replace(&mut self.left_cold, cold);
+        let age = before.max(cold).unwrap_or(0);
+        let young = |l: &&Listed| l.member.entry.started.is_some_and(|started| now - started < age);
+        self.nodes.values().filter(young).map(|l| self.laid_over(now, l)).collect()
+    }
+
+    /// The last calls, for a process that comes after this one.
+    pub fn bans(&self) -> Vec<Ban> {
+        self.bans.values().cloned().collect()
+    }
+
+    /// The nodes as listed.
+    pub fn nodes(&self) -> Vec<Listed> {
+        self.nodes.values().cloned().collect()
+    }
+
+    /// Whether any node may be sent to.
+    pub fn is_usable(&self) -> bool {
+        let up = |l: &Listed| l.member.entry.state == NodeState::Up && !self.is_out(&l.name);
+        self.nodes.values().any(up)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const S: Time = 1_000_000;
+
+    fn listed(name: &str, node: NodeId, state: NodeState, started: Option<Time>) -> Listed {
+        let entry = NodeEntry { node, zone: 0, shard: node, state, started, size: 0 };
+        Listed { name: name.into(), member: Member { entry, address: "an address".into() } }
+    }
+
+    fn up(name: &str, node: NodeId) -> Listed {
+        listed(name, node, NodeState::Up, None)
+    }
+
+    fn states(told: &[Member]) -> Vec<(NodeId, NodeState)> {
+        told.iter().map(|m| (m.entry.node, m.entry.state)).collect()
+    }
+
+    /// Guards against a list of any kind that puts a node back into use which staff have taken out.
+    #[test]
+    fn a_ban_holds_over_every_list_until_the_call_back() {
+        use NodeState::*;
+        let mut upkeep = Upkeep::default();
+        let both = || vec![up("a", 1), up("b", 2)];
+        assert_eq!(states(&upkeep.list(0, ListKind::Full, both())), [(1, Up), (2, Up)]);
+        assert_eq!(states(&upkeep.call(S, "a", true).expect("listed")), [(1, Draining)]);
+        assert_eq!(upkeep.call(S, "a", true).as_deref(), Ok(&[][..]), "said again");
+        for kind in [ListKind::Full, ListKind::Saved, ListKind::Changes] {
+            assert_eq!(states(&upkeep.list(2 * S, kind, both())), [(1, Draining), (2, Up)]);
+        }
+        // It goes, and comes back at another address with a new start.
+        let gone = listed("a", 1, Gone, None);
+        assert_eq!(states(&upkeep.list(3 * S, ListKind::Changes, vec![gone])), [(1, Gone)]);
+        let mut back = listed("a", 1, Up, Some(4 * S));
+        back.member.address = "another address".into();
+        assert_eq!(states(&upkeep.list(4 * S, ListKind::Changes, vec![back])), [(1, Draining)]);
+        let told = upkeep.call(5 * S, "a", false).expect("listed");
+        assert_eq!((told[0].entry.state, told[0].entry.started), (Up, Some(4 * S)), "as the list says now");
+        assert_eq!(told[0].address, "another address");
+        assert_eq!(upkeep.call(5 * S, "a", false).as_deref(), Ok(&[][..]));
+        assert_eq!(states(&upkeep.list(6 * S, ListKind::Full, both())), [(1, Up), (2, Up)]);
+    }
+
+    #[test]
+    fn only_what_was_listed_once_can_be_called_and_little_is_kept_to_know_it() {
+        let mut upkeep = Upkeep::default();
+        upkeep.list(0, ListKind::Full, vec![up("a", 1)]);
+        upkeep.list(0, ListKind::Full, vec![up("b", 2)]);
+        assert_eq!(upkeep.call(S, "c", true), Err(Refused::NeverListed));
+        assert_eq!(upkeep.call(S, "c", false), Err(Refused::NeverListed));
+        assert_eq!(upkeep.call(S, "a", true).as_deref(), Ok(&[][..]), "it was listed once");
+        for i in 0..2 * MOST_NAMES as u32 {
+            upkeep.list(S, ListKind::Full, vec![up(&format!("n{i}"), 10 + i)]);
+        }
+        assert!(upkeep.names.len() <= MOST_NAMES && upkeep.seen.len() <= MOST_NAMES);
+        assert_eq!(upkeep.call(S, "b", true), Err(Refused::NeverListed), "forgotten");
+        assert!(upkeep.call(S, "a", false).is_ok(), "a ban is not");
+        upkeep.list(S + CALL_MEMORY + 1, ListKind::Changes, Vec::new());
+        assert!(upkeep.bans.is_empty(), "a call back ends");
+    }
+
+    /// Guards against a ban that is lost or revived between two processes which both take calls.
+    #[test]
+    fn of_two_processes_the_later_call_holds() {
+        let mut pair = [Upkeep::default(), Upkeep::default()];
+        for upkeep in &mut pair {
+            upkeep.list(0, ListKind::Full, vec![up("a", 1), up("b", 2)]);
+        }
+        let [old, new] = &mut pair;
+        old.call(S, "a", true).expect("listed");
+        assert_eq!(states(&new.merge(S, old.bans())), [(1, NodeState::Draining)]);
+        assert!(new.merge(S, old.bans()).is_empty(), "nothing new");
+        new.call(2 * S, "a", false).expect("listed");
+        assert!(new.merge(2 * S, old.bans()).is_empty(), "an earlier call");
+        assert_eq!(states(&old.merge(2 * S, new.bans())), [(1, NodeState::Up)]);
+    }
+
+    /// Guards against two processes that both fill a cold node's budget.
+    #[test]
+    fn cold_nodes_are_left_to_the_process_that_takes_over() {
+        let mut upkeep = Upkeep::default();
+        let cold = listed("b", 2, NodeState::Up, Some(9 * S));
+        upkeep.list(10 * S, ListKind::Full, vec![up("a", 1), cold]);
+        assert_eq!(states(&upkeep.leave_cold(10 * S, Some(20 * S))), [(2, NodeState::Draining)]);
+        let another = listed("c", 3, NodeState::Up, Some(11 * S));
+        let told = upkeep.list(12 * S, ListKind::Changes, vec![another]);
+        assert_eq!(states(&told), [(3, NodeState::Draining)]);
+        let told = upkeep.leave_cold(13 * S, None);
+        assert_eq!(states(&told), [(2, NodeState::Up), (3, NodeState::Up)], "the new one died");
+    }
+}
--- /dev/null
+++ b/src/wire/admin/desk.rs
@@ -0,0 +1,104 @@
+//! Carries the operators' calls out and words their answers.
+
+use super::{Call, Wrong};
+use crate::interface::ListKind;
+use crate::state::phase::{Move, Phase};
+use crate::state::planner::{Input, Member, Wire};
+use crate::state::upkeep::Upkeep;
+use crate::wire::clock::Clock;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::{oneshot, watch};
+
+/// How long a call may take to be carried out: its caller waits a second.
+const SOON: Duration = Duration::from_millis(900);
+
+/// Asks that what is to outlive this process be written down; told when it is, and whether that worked.
+pub type Keep = oneshot::Sender<bool>;
+
+/// What the calls act on.
+pub struct Desk<W: Wire> {
+    /// The broker's phase.
+    pub phase: Rc<watch::Sender<Phase>>,
+    /// The nodes that are out.
+    pub upkeep: Rc<RefCell<Upkeep>>,
+    /// The planner.
+    pub planner: UnboundedSender<Input<W>>,
+    /// Who writes down what is to outlive this process, if there is a place for it.
+    pub keeper: Option<UnboundedSender<Keep>>,
+    /// The time.
+    pub clock: Clock,
+}
+
+/// Moves the broker's phase; false if there is no such way.
+pub fn step(phase: &watch::Sender<Phase>, what: Move, clock: Clock) -> Result<(), String> {
+    let before = *phase.borrow();
+    let after = before.after(what, clock.now()).map_err(|e| e.to_string())?;
+    if after != before {
+        tracing::info!(?before, ?after, "phase");
+        phase.send_replace(after);
+    }
+    Ok(())
+}
+
+impl<W: Wire> Desk<W> {
+    /// Carries a call out and gives the answer, a line without its end.
+    pub async fn take(&self, call: Result<Call, Wrong>) -> String {
+        let outcome = match &call {
+            Err(wrong) => Err(wrong.to_string()),
+            Ok(Call::Health) => self.health(),
+            Ok(Call::Node { name, out }) => self.node(name, *out).await,
+            Ok(Call::Leave) => step(&self.phase, Move::Leave, self.clock).map(|()| "leaving".to_string()),
+            Ok(Call::Join) => step(&self.phase, Move::Join, self.clock).map(|()| "serving".to_string()),
+        };
+        match outcome {
+            Ok(text) => format!("200 {text}"),
+            Err(reason) => {
+                tracing::info!(?call, reason, "call turned down");
+                format!("400 {reason}")
+            }
+        }
+    }
+
+    fn health(&self) -> Result<String, String> {
+        let phase = *self.phase.borrow();
+        match phase {
+            _ if !phase.serves() => Err(format!("{phase:?}").to_ascii_lowercase()),
+            _ if !self.upkeep.borrow().is_usable() => Err("no usable list of disk nodes".to_string()),
+            _ => Ok("serving".to_string()),
+        }
+    }
+
+    /// Answers once the scheduler knows and what was held for the node cannot go there any more.
+    async fn node(&self, name: &str, out: bool) -> Result<String, String> {
+        let told = self.upkeep.borrow_mut().call(self.clock.now(), name, out).map_err(|e| e.to_string())?;
+        let reached = tell(&self.planner, told);
+        let kept = self.keeper.as_ref().map(|keeper| {
+            let (keep, kept) = oneshot::channel();
+            let _ = keeper.send(keep);
+            kept
+        });
+        let done = async {
+            let _ = reached.await;
+            match kept {
+                None => false,
+                Some(kept) => kept.await.unwrap_or(false),
+            }
+        };
+        let kept = tokio::time::timeout(SOON, done).await.map_err(|_| "not yet in force".to_string())?;
+        let word = if out { "out" } else { "in use" };
+        Ok(if kept { word.to_string() } else { format!("{word}, in this process only") })
+    }
+}
+
+/// Tells the planner of nodes; done when the turn that took it is over.
+pub fn tell<W: Wire>(planner: &UnboundedSender<Input<W>>, told: Vec<Member>) -> oneshot::Receiver<()> {
+    let (reached, done) = oneshot::channel();
+    if !told.is_empty() {
+        let _ = planner.send(Input::Nodes(ListKind::Changes, told));
+    }
+    let _ = planner.send(Input::Reached(reached));
+    done
+}
--- /dev/null
+++ b/src/wire/admin/serve.rs
@@ -0,0 +1,67 @@
+//! The operators' callers: the driver of one connection, and the taking of them.
+
+use super::desk::Desk;
+use crate::state::planner::Wire;
+use crate::state::seats::{Seat, Seats, Spare};
+use crate::wire::session::close;
+use bytes::BytesMut;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Callers at once. Descriptors are set aside for them.
+pub const MOST_CALLERS: usize = 24;
+/// How long a caller may take to finish its line.
+const PATIENCE: Duration = Duration::from_secs(5);
+/// How long it may take to read its answer.
+const READING: Duration = Duration::from_secs(1);
+/// How long to wait when all places are taken.
+const FULL_HOUSE: Duration = Duration::from_millis(2);
+
+/// Takes callers for good. Where all places are taken, the one that has finished no line for longest gives way.
+pub async fn accept<W: Wire>(listener: TcpListener, desk: Rc<Desk<W>>, seats: Seats) {
+    loop {
+        while seats.len() >= MOST_CALLERS {
+            while seats.call_spare(desk.clock.now()) {}
+            tokio::time::sleep(FULL_HOUSE).await;
+        }
+        match listener.accept().await {
+            Ok((stream, _)) => drop(tokio::task::spawn_local(serve(stream, desk.clone(), seats.take()))),
+            Err(error) => {
+                tracing::warn!(%error, "cannot take a caller");
+                tokio::time::sleep(FULL_HOUSE * 10).await;
+            }
+        }
+    }
+}
+
+/// Carries one caller: a line, an answer, the end.
+async fn serve<W: Wire>(mut stream: TcpStream, desk: Rc<Desk<W>>, seat: Seat) {
+    let now = desk.clock.now();
+    seat.set_spare(Some((Spare::Silent, now)));
+    seat.set_deadline(Some(now + PATIENCE.as_micros() as i64));
+    let mut read = BytesMut::with_capacity(128);
+    let call = loop {
+        tokio::select! {
+            biased;
+            n = stream.read_buf(&mut read) => {
+                let Ok(n) = n else { return };
+                match super::take(&mut read, n == 0) {
+                    Some(call) => break call,
+                    None if n == 0 => return,
+                    None => {}
+                }
+            }
+            // Its place is wanted, or its time is over.
+            () = seat.called() => return,
+        }
+    };
+    seat.set_spare(None);
+    seat.set_deadline(None);
+    let answer = desk.take(call).await + "\r\n";
+    let written = tokio::time::timeout(READING, stream.write_all(answer.as_bytes())).await;
+    if matches!(written, Ok(Ok(()))) {
+        close(stream).await;
+    }
+}
--- a/src/wire/discovery.rs
+++ b/src/wire/discovery.rs
@@ -3,6 +3,7 @@
 use super::link::Broken;
 use crate::interface::{ListKind, NodeEntry, NodeId, NodeState, ShardId, Time};
 use crate::state::planner::Member;
+use crate::state::upkeep::Listed;
 use bytes::BytesMut;
 use serde::Deserialize;
 use std::borrow::Cow;
@@ -101,7 +102,7 @@
     }
 
     /// Its nodes as the planner knows them. A node of a zone that the settings lack has a zone of its own.
-    pub fn into_members(self, numbers: &mut NodeNumbers, zones: &[String]) -> Vec<Member> {
+    pub fn into_listed(self, numbers: &mut NodeNumbers, zones: &[String]) -> Vec<Listed> {
         let member = |entry: Entry| {
             let zone = zones.iter().position(|z| *z == entry.locality).unwrap_or(zones.len());
             let state = match entry.phase {
@@ -119,12 +120,12 @@
                 started,
                 size: thousandths(entry.size),
             };
-            Member { entry: entry_of, address: entry.host_port }
+            Listed { name: entry.id, member: Member { entry: entry_of, address: entry.host_port } }
         };
         let complete = self.complete;
-        let members: Vec<Member> = self.members.into_iter().map(member).collect();
-        numbers.keep(|node| match members.iter().find(|m| m.entry.node == node) {
-            Some(member) => member.entry.state != NodeState::Gone,
+        let members: Vec<Listed> = self.members.into_iter().map(member).collect();
+        numbers.keep(|node| match members.iter().find(|l| l.member.entry.node == node) {
+            Some(listed) => listed.member.entry.state != NodeState::Gone,
             None => !complete,
         });
         members
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,6 +1,7 @@
 //! What is spoken. Each protocol is a state machine that is fed bytes and knows no socket; the thin
 //! drivers in [`link`], [`session`] and [`watch`] do the reading and writing.
 
+pub mod admin;
 pub mod clock;
 pub mod discovery;
 pub mod link;
--- a/src/wire/resp/server.rs
+++ b/src/wire/resp/server.rs
@@ -2,12 +2,14 @@
 
 use super::*;
 use crate::interface::{Arrival, RequestId};
+use crate::state::phase::Phase;
 use crate::state::planner::Answer;
 use crate::state::room::{Part, Room};
 use crate::wire::session::{Numbers, Session};
 use std::cell::RefCell;
 use std::collections::{BTreeSet, VecDeque};
 use std::rc::Rc;
+use tokio::sync::watch;
 
 /// Commands of one client that may wait for their answers.
 const MOST_SLOTS: usize = 256;
@@ -59,14 +61,16 @@
     pub numbers: Numbers,
     /// Room for what is open.
     pub room: Room,
+    /// The broker's phase.
+    phase: watch::Receiver<Phase>,
     /// Ids of the requests that are open, by whatever client.
     open: RefCell<BTreeSet<Box<[u8]>>>,
 }
 
 impl Common {
     /// For sessions of which none has begun.
-    pub fn new(terms: Terms, room: Room) -> Self {
-        Common { terms, numbers: Numbers::default(), room, open: RefCell::default() }
+    pub fn new(terms: Terms, room: Room, phase: watch::Receiver<Phase>) -> Self {
+        Common { terms, numbers: Numbers::default(), room, phase, open: RefCell::default() }
     }
 }
 
@@ -130,7 +134,8 @@
         match () {
             () if is("OBJ.GET") => self.request(now, words, "OBJ.GET", asks),
             () if is("OBJ.PUT") => self.request(now, words, "OBJ.PUT", asks),
-            () if is("PING") => Ok(Asked::Line(b"+PONG\r\n")),
+            () if is("PING") && self.common.phase.borrow().welcomes() => Ok(Asked::Line(b"+PONG\r\n")),
+            () if is("PING") => Err(b"-ERR the broker takes no clients\r\n"),
             () if is("CLIENT") || is("SELECT") => Ok(Asked::Line(b"+OK\r\n")),
             () if is("QUIT") => Ok(Asked::Quit),
             () => Err(b"-ERR unknown command\r\n"),
--- a/src/wire/session.rs
+++ b/src/wire/session.rs
@@ -4,6 +4,7 @@
 use super::outbox::Outbox;
 use crate::interface::Time;
 use crate::interface::{Arrival, RequestId};
+use crate::state::phase::Phase;
 use crate::state::planner::{Answer, Ask, Back, Input, Wire};
 use crate::state::seats::{Seat, Spare};
 use crate::wire::clock::Pulse;
@@ -126,14 +127,14 @@
     }
 }
 
-/// Carries one client connection until either side is done with it. When `stopping` turns true it is closed
+/// Carries one client connection until either side is done with it, or until the broker's phase wants it closed
 /// between requests.
 pub async fn serve<W: Wire, S: Session<W>>(
     stream: TcpStream,
     mut session: S,
     planner: UnboundedSender<Input<W>>,
     pulse: Pulse,
-    mut stopping: watch::Receiver<bool>,
+    mut phase: watch::Receiver<Phase>,
     seat: Seat,
 ) {
     let (back, mut answers) = unbounded_channel();
@@ -146,8 +147,13 @@
         let idle = session.owed().is_empty() && !waiting;
         let gives_way = idle && session.gives_way();
         seat.set_spare(gives_way.then(|| pace.spare()));
-        let deadline = pace.deadline(ways.pulse.now(), gives_way, waiting);
-        let over = deadline.is_some_and(|at| at <= ways.pulse.now());
+        let now = ways.pulse.now();
+        let deadline = pace.deadline(now, gives_way, waiting);
+        let over = deadline.is_some_and(|at| at <= now);
+        // A command that has begun is waited for: its last byte may be on its way.
+        let stands = *phase.borrow();
+        let closes = stands.closes_at(pace.since, pace.used).filter(|_| idle && pace.begun.is_none());
+        let deaf = stands.deaf_at().filter(|_| !idle);
         if over && waiting {
             break;
         }
@@ -155,8 +161,7 @@
             session.hurry();
             continue;
         }
-        // A command that has begun is waited for: its last byte may be on its way.
-        let wanted = seat.is_called() || (*stopping.borrow() && pace.begun.is_none());
+        let wanted = seat.is_called() || closes.is_some_and(|at| at <= now);
         if idle && session.ending() {
             return close(stream).await;
         }
@@ -168,8 +173,10 @@
             }
             continue;
         }
-        seat.set_deadline(deadline);
-        let open = !session.ending() && !session.full() && session.outbox().len() < MOST_UNREAD;
+        let wakes = [deadline, closes, deaf.filter(|at| *at > now)];
+        seat.set_deadline(wakes.into_iter().flatten().min());
+        let listens = deaf.is_none_or(|at| at > now);
+        let open = listens && !session.ending() && !session.full() && session.outbox().len() < MOST_UNREAD;
         tokio::select! {
             biased;
             Some((id, answer)) = answers.recv() => {
@@ -202,7 +209,11 @@
                 }
                 ways.take(&mut session, &mut pace, &mut read);
             }
-            _ = stopping.changed(), if !*stopping.borrow() => session.stop(),
+            Ok(()) = phase.changed() => {
+                if phase.borrow().stops() {
+                    session.stop();
+                }
+            }
             () = seat.called() => {}
         }
     }
@@ -236,7 +247,7 @@
 }
 
 /// Ends a connection so that what was written arrives: closing a socket with unread bytes would reset it.
-async fn close(mut stream: TcpStream) {
+pub(super) async fn close(mut stream: TcpStream) {
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     let mut rest = [0; 4096];
     let drained = async {
--- a/src/wire/watch.rs
+++ b/src/wire/watch.rs
@@ -3,7 +3,11 @@
 use super::discovery::{self, NodeNumbers, Response};
 use crate::interface::ListKind;
 use crate::state::planner::{Input, Wire};
+use crate::state::upkeep::Upkeep;
+use crate::wire::clock::Clock;
 use bytes::BytesMut;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -22,7 +26,7 @@
     /// Discovery's address; it may move while it is watched.
     pub address: watch::Receiver<String>,
     /// Version of the list that is known.
-    pub revision: u64,
+    pub revision: Rc<Cell<u64>>,
     /// Numbers of the nodes.
     pub numbers: NodeNumbers,
     /// Names of the zones.
@@ -31,6 +35,10 @@
     pub wishes: UnboundedReceiver<()>,
     /// The planner.
     pub planner: UnboundedSender<Input<W>>,
+    /// What is laid over every list.
+    pub upkeep: Rc<RefCell<Upkeep>>,
+    /// The time.
+    pub clock: Clock,
 }
 
 impl<W: Wire> WatchTask<W> {
@@ -57,7 +65,7 @@
         loop {
             let address = self.address.borrow_and_update().clone();
             let answer = tokio::select! {
-                answer = call(&address, self.revision, &mut stream) => answer,
+                answer = call(&address, self.revision.get(), &mut stream) => answer,
                 Ok(()) = self.address.changed() => {
                     // The version holds at the new address, too: nothing that was told is asked for again.
                     stream = None;
@@ -68,13 +76,14 @@
                 Err(reason) => return reason,
                 Ok(Response::Status(status)) => return format!("status {status}"),
                 Ok(Response::Listing(listing)) => {
-                    self.revision = listing.revision;
+                    self.revision.set(listing.revision);
                     let kind = listing.kind();
-                    let members = listing.into_members(&mut self.numbers, &self.zones);
+                    let listed = listing.into_listed(&mut self.numbers, &self.zones);
+                    let members = self.upkeep.borrow_mut().list(self.clock.now(), kind, listed);
                     if !members.is_empty() {
                         tracing::info!(
                             ?kind,
-                            revision = self.revision,
+                            revision = self.revision.get(),
                             nodes = members.len(),
                             "list of nodes"
                         );
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -5,6 +5,7 @@
 use bytes::BytesMut;
 use claywinch::interface::{Arrival, Ending};
 use claywinch::state::integrity::{Facts, Geometry, State};
+use claywinch::state::phase::Phase;
 use claywinch::state::planner::{Answer, End};
 use claywinch::state::room::Room;
 use claywinch::wire::link::{Broken, Exchange};
@@ -46,7 +47,7 @@
     let class = |name: &str, writes| ClassTerms { name: name.into(), deadline: 500_000, writes };
     let classes = vec![class("read", Some(false)), class("write", Some(true)), class("both", None)];
     let terms = Terms { classes, plans: vec!["gold".into()], most_units: 6, shards: Some(9) };
-    Rc::new(Common::new(terms, Room::new(room)))
+    Rc::new(Common::new(terms, Room::new(room), tokio::sync::watch::channel(Phase::Serving).1))
 }
 
 fn resp_client() -> Client {
@@ -149,8 +150,8 @@
     check(valid.as_bytes(), || drain(discovery::decode));
     let (response, keep) = discovery::decode(&mut BytesMut::from(valid.as_bytes())).unwrap().unwrap();
     let discovery::Response::Listing(listing) = response else { panic!("{response:?}") };
-    let members = listing.into_members(&mut discovery::NodeNumbers::default(), &["b".into(), "a".into()]);
-    let entry = &members[0].entry;
+    let members = listing.into_listed(&mut discovery::NodeNumbers::default(), &["b".into(), "a".into()]);
+    let entry = &members[0].member.entry;
     assert_eq!(
         (entry.node, entry.zone, entry.shard, entry.started, keep),
         (0x5be2_a07c, 1, 3, Some(7_000), true)
