Stop accepting once a new process is ready, and keep idle clients of an old one longer

Cause: beside one another both processes took half of the descriptors (run/handover.rs, share), so both sent idle clients away to make room (Front::take, call_spare), and what crossed that was turned back. Idle clients of the old one were closed 0.3 s after SIGTERM, too. Change: a phase Yielding: a process with a ready successor takes nothing new, so it needs no room; the successor has what the old one does not hold, as written in the file.

--- a/src/run/front.rs
+++ b/src/run/front.rs
@@ -62,16 +62,23 @@
     /// Takes connections for as long as the phase allows.
     pub async fn accept<S: Session<W>>(self, session: impl Fn() -> S) {
         let mut phase = self.phase.clone();
-        tokio::select! {
-            biased;
-            _ = phase.wait_for(|phase| !phase.accepts()) => {}
-            () = self.take(session) => {}
+        loop {
+            tokio::select! {
+                biased;
+                _ = phase.wait_for(|phase| !phase.accepts()) => {}
+                () = self.take(&session) => {}
+            }
+            // Another process that took them in its place may be gone.
+            match phase.wait_for(|phase| phase.accepts() || phase.stops()).await {
+                Ok(phase) if phase.accepts() => {}
+                _ => return,
+            }
         }
     }
 
     /// Takes connections for good. What the kernel has accepted is owed an answer, so a full house asks those
     /// connections that can be spared to leave, rather than let new ones wait.
-    async fn take<S: Session<W>>(&self, session: impl Fn() -> S) {
+    async fn take<S: Session<W>>(&self, session: &impl Fn() -> S) {
         let mut said = None;
         loop {
             while self.seats.len() >= self.most.get() {
--- a/src/run/handover.rs
+++ b/src/run/handover.rs
@@ -3,10 +3,10 @@
 
 use crate::interface::{ListKind, Time};
 use crate::state::handover::{Handover, NodeLeft, Process, MOST_BYTES};
-use crate::state::phase::Phase;
+use crate::state::phase::{Move, Phase};
 use crate::state::planner::{Input, Member, Wire};
 use crate::state::upkeep::Upkeep;
-use crate::wire::admin::desk::Keep;
+use crate::wire::admin::desk::{step, Keep};
 use crate::wire::clock::Clock;
 use std::cell::{Cell, RefCell};
 use std::io::Read;
@@ -47,6 +47,9 @@
     }
 }
 
+/// Gives how many clients and links a process may hold that has so many descriptors.
+pub type Share = Rc<dyn Fn(usize) -> (usize, usize)>;
+
 /// Keeps the file of a process.
 pub struct Keeper<W: Wire> {
     /// The file.
@@ -62,15 +65,15 @@
     /// The planner.
     pub planner: UnboundedSender<Input<W>>,
     /// The broker's phase.
-    pub phase: watch::Receiver<Phase>,
+    pub phase: Rc<watch::Sender<Phase>>,
     /// How long after its start a node is cold.
     pub cold: Time,
-    /// Clients and links that this process may hold when it is alone, and beside another one.
-    pub shares: [(usize, usize); 2],
+    /// Descriptors that all processes of the broker may hold.
+    pub descriptors: usize,
+    /// What this one may hold of them.
+    pub share: Share,
     /// How many clients it may hold.
     pub clients: Rc<Cell<usize>>,
-    /// Whether a process that started later serves in its place.
-    pub successor: Rc<Cell<bool>>,
     /// The time.
     pub clock: Clock,
 }
@@ -88,30 +91,21 @@
             };
             pause = LOOK;
             let now = self.clock.now();
-            let place = place(&self.path);
-            if place.is_some() && place != seen {
+            let place = place(&self.path).filter(|_| beat > 0);
+            // Beside another process each look counts, since that one may have died.
+            let mut answer = false;
+            if place != seen || (beside && now - self.own.started >= FIRST_SIGN) {
+                answer = place != seen;
                 seen = place;
-                if let Some(other) = read(&self.path) {
-                    let told = self.upkeep.borrow_mut().merge(now, other.bans.clone());
-                    self.tell(told);
-                    let waits = beside && now - self.own.started < FIRST_SIGN;
-                    self.share(other.has_others(&self.own, now) || waits, &mut beside);
-                    self.give_way(now, other.has_successor(&self.own, now));
-                }
-            } else if now - self.own.started >= FIRST_SIGN && beside {
-                // Nothing has come since: whoever wrote it last may be this process.
-                let other = read(&self.path).unwrap_or_default();
-                self.share(other.has_others(&self.own, now), &mut beside);
-                self.give_way(now, other.has_successor(&self.own, now));
+                beside = self.look(now, beside);
             }
-            let ready = self.phase.borrow().accepts() && *self.phase.borrow() != Phase::Starting;
-            let changed = self.own.ready != ready || written != Some(self.revision.get());
-            let due = (changed && now - beat >= LIST) || (beside && now - beat >= BEAT) || beat == 0;
-            if wish.is_some() || due || self.own.ready != ready {
+            let ready = self.phase.borrow().accepts();
+            let news = self.own.ready != ready || answer && beside;
+            let list = written != Some(self.revision.get()) && now - beat >= LIST;
+            if wish.is_some() || beat == 0 || news || list || (beside && now - beat >= BEAT) {
                 self.own.ready = ready;
                 let kept = self.write(now);
-                (beat, written) = (now, Some(self.revision.get()));
-                seen = place_of(&self.path, kept).or(seen);
+                (beat, written, seen) = (now, Some(self.revision.get()), self::place(&self.path));
                 if let Some(wish) = wish {
                     // A caller that is gone need not be told.
                     let _ = wish.send(kept);
@@ -120,37 +114,50 @@
         }
     }
 
-    fn tell(&self, told: Vec<Member>) {
-        if !told.is_empty() {
-            let _ = self.planner.send(Input::Nodes(ListKind::Changes, told));
+    /// Takes what another process has written; whether one runs.
+    fn look(&self, now: Time, beside: bool) -> bool {
+        let other = read(&self.path).unwrap_or_default();
+        let successor = other.has_successor(&self.own, now);
+        let held = other.held_by_others(&self.own, now);
+        self.tell(self.upkeep.borrow_mut().merge(now, other.bans));
+        if held.is_some() && !successor {
+            // The one before lets go of its connections: what it holds is not for this one.
+            let (clients, links) = (self.share)(self.descriptors.saturating_sub(held.unwrap_or(0)));
+            self.bound(clients, Some(links));
+        } else if held.is_none() && beside && now - self.own.started >= FIRST_SIGN {
+            let (clients, links) = (self.share)(self.descriptors);
+            tracing::info!(clients, links, "alone again");
+            self.bound(clients, Some(links));
+        }
+        let before = *self.phase.borrow();
+        let _ = step(&self.phase, Move::Yield(successor), self.clock);
+        if before != *self.phase.borrow() {
+            // Cold nodes are left to the process that serves in the place of this one.
+            let cold = successor.then_some(self.cold);
+            self.tell(self.upkeep.borrow_mut().leave_cold(now, cold));
+            if successor {
+                self.bound(self.clients.get(), None);
+            }
         }
+        held.is_some() || (beside && now - self.own.started < FIRST_SIGN)
     }
 
-    /// Takes its share of descriptors, beside another process or alone.
-    fn share(&self, others: bool, beside: &mut bool) {
-        if std::mem::replace(beside, others) != others {
-            let (clients, links) = self.shares[usize::from(others)];
-            tracing::info!(beside = others, clients, links, "share of descriptors");
-            self.clients.set(clients);
-            let _ = self.planner.send(Input::Links(links));
-        }
+    fn bound(&self, clients: usize, links: Option<usize>) {
+        self.clients.set(clients);
+        let _ = self.planner.send(Input::Links(links));
     }
 
-    /// Leaves cold nodes to a process that serves in its place, or takes them back if that one is gone.
-    fn give_way(&self, now: Time, successor: bool) {
-        if self.successor.replace(successor) != successor {
-            tracing::info!(successor, "another process serves in the place of this one");
-            let told = self.upkeep.borrow_mut().leave_cold(now, successor.then_some(self.cold));
-            self.tell(told);
+    fn tell(&self, told: Vec<Member>) {
+        if !told.is_empty() {
+            let _ = self.planner.send(Input::Nodes(ListKind::Changes, told));
         }
     }
 
     /// Writes the file, with what another process has put there; false if that did not work.
     fn write(&mut self, now: Time) -> bool {
         let mut handover = read(&self.path).unwrap_or_default();
-        let told = self.upkeep.borrow_mut().merge(now, std::mem::take(&mut handover.bans));
-        self.tell(told);
-        self.own.beat = now;
+        self.tell(self.upkeep.borrow_mut().merge(now, std::mem::take(&mut handover.bans)));
+        (self.own.beat, self.own.held) = (now, held().unwrap_or(self.descriptors / 2));
         handover.note(self.own);
         handover.bans = self.upkeep.borrow().bans();
         if handover.revision <= self.revision.get() {
@@ -161,6 +168,11 @@
     }
 }
 
+/// Descriptors that this process holds, if the system tells.
+fn held() -> Option<usize> {
+    std::fs::read_dir("/proc/self/fd").ok().map(Iterator::count)
+}
+
 /// Takes a process that ends out of the file, so that nobody waits for it.
 pub fn leave(path: &Path, id: u64) {
     if let Some(mut handover) = read(path) {
@@ -183,7 +195,3 @@
 fn place(path: &Path) -> Option<(u64, i64, i64)> {
     std::fs::metadata(path).ok().map(|m| (m.ino(), m.mtime(), m.mtime_nsec()))
 }
-
-fn place_of(path: &Path, kept: bool) -> Option<(u64, i64, i64)> {
-    place(path).filter(|_| kept)
-}
--- a/src/run/start.rs
+++ b/src/run/start.rs
@@ -9,9 +9,9 @@
 use super::limits::Limits;
 use super::nbd;
 use super::settings::Start;
-use crate::interface::ListKind;
+use crate::interface::{ListKind, Time};
 use crate::state::handover::Process;
-use crate::state::phase::{Move, Phase};
+use crate::state::phase::{last_read, Move, Phase};
 use crate::state::planner::{Input, Planner};
 use crate::state::pool::PoolLimits;
 use crate::state::room::Room;
@@ -37,6 +37,12 @@
 
 /// How long new connections are taken after the signal to stop.
 const STILL_ACCEPTING: Duration = Duration::from_millis(500);
+/// The platform ends a process so long after the signal: the longest deadline, within these bounds, and a little.
+const MOST_GRACE: Time = 3_000_000;
+/// See `MOST_GRACE`.
+const LEAST_GRACE: Time = 500_000;
+/// See `MOST_GRACE`.
+const AFTER_GRACE: Time = 700_000;
 /// How long the last answers may take: longer than any client waits.
 const LAST_ANSWERS: Duration = Duration::from_secs(60);
 
@@ -81,9 +87,9 @@
     let deploy = Deploy::load(&config.nbd_file)?;
     let nbd_on = deploy.as_ref().is_some_and(|d| d.listen.is_some());
     let callers = if config.admin.is_some() { MOST_CALLERS } else { 0 };
-    let share =
-        |of: usize| Limits::share(config.limits.sockets / of, config.limits.memory_mb, nbd_on, callers);
-    let (limits, nbd_limits) = share(1);
+    let deployed = config.limits;
+    let share = move |descriptors| Limits::share(descriptors, deployed.memory_mb, nbd_on, callers);
+    let (limits, nbd_limits) = share(deployed.sockets);
     let bounds = config.start.bounds;
     let (phase, phases) = watch::channel(Phase::default());
     let phase = Rc::new(phase);
@@ -96,10 +102,11 @@
     let file = config.folder.filter(|_| passed.is_some() || config.admin.is_some()).map(|f| f.join(name));
     let left = file.as_deref().and_then(handover::read);
     let beside = passed.is_some() && left.as_ref().is_some_and(|left| !left.processes.is_empty());
-    let shares = [1, 2].map(|of| (share(of).0.clients, share(of).0.links));
-    let most = Rc::new(Cell::new(shares[usize::from(beside)].0));
+    // What the other process holds is not known yet.
+    let (own_limits, _) = share(if beside { deployed.sockets / 2 } else { deployed.sockets });
+    let most = Rc::new(Cell::new(own_limits.clients));
     let pool = PoolLimits {
-        links: shares[usize::from(beside)].1,
+        links: own_limits.links,
         links_per_node: 40,
         multiplex: bounds.multiplex,
         idle: bounds.conn_idle * 3 / 5,
@@ -185,21 +192,23 @@
         }
     };
     let (keeper, wanted) = unbounded_channel();
-    let successor = Rc::new(Cell::new(false));
     let id = config.seed ^ u64::from(std::process::id()).rotate_left(32);
     if let Some(path) = &file {
         let task = Keeper {
             path: path.clone(),
-            own: Process { id, started: clock.now(), ready: false, beat: 0 },
+            own: Process { id, started: clock.now(), ready: false, beat: 0, held: 0 },
             upkeep: upkeep.clone(),
             revision,
             wishes: wanted,
             planner: own.clone(),
-            phase: phases.clone(),
+            phase: phase.clone(),
             cold,
-            shares,
+            descriptors: deployed.sockets,
+            share: Rc::new(move |descriptors| {
+                let (own, _) = share(descriptors);
+                (own.clients, own.links)
+            }),
             clients: most,
-            successor: successor.clone(),
             clock,
         };
         tokio::task::spawn_local(task.run(beside));
@@ -219,9 +228,13 @@
         _ = term.recv() => {}
         _ = interrupt.recv() => {}
     }
-    tracing::info!(clients = seats.len(), successor = successor.get(), "stopping");
-    let _ = step(&phase, Move::Stop(successor.get()), clock);
-    tokio::time::sleep(STILL_ACCEPTING).await;
+    tracing::info!(clients = seats.len(), "stopping");
+    let longest = config.start.deadlines.iter().copied().max().unwrap_or(0);
+    let grace = longest.clamp(LEAST_GRACE, MOST_GRACE) + AFTER_GRACE;
+    let _ = step(&phase, Move::Stop(grace), clock);
+    let handing = matches!(*phase.borrow(), Phase::HandingOver(..));
+    let reads_on = Duration::from_micros(last_read(grace) as u64);
+    tokio::time::sleep(if handing { reads_on } else { STILL_ACCEPTING }).await;
     let _ = step(&phase, Move::Close, clock);
     let empty = || seats.is_empty() && nbd.as_ref().is_none_or(|n| n.seats.is_empty());
     let emptied = async {
--- a/src/state/handover.rs
+++ b/src/state/handover.rs
@@ -14,7 +14,7 @@
 /// Most processes that are noted: more can't run side by side.
 const MOST_PROCESSES: usize = 8;
 /// A process that has not been heard of for so long has ended.
-const ALIVE: Time = 2_000_000;
+const ALIVE: Time = 1_500_000;
 
 /// Why a text is of no use.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -44,6 +44,8 @@
     pub ready: bool,
     /// When it was last heard of.
     pub beat: Time,
+    /// Descriptors that it held then.
+    pub held: usize,
 }
 
 /// A node as the list said.
@@ -138,9 +140,10 @@
         self.processes.iter().filter(later).any(|p| now - p.beat < ALIVE)
     }
 
-    /// Whether another process than one still runs.
-    pub fn has_others(&self, own: &Process, now: Time) -> bool {
-        self.processes.iter().any(|p| p.id != own.id && now - p.beat < ALIVE)
+    /// Descriptors that other processes than one hold, if any still runs.
+    pub fn held_by_others(&self, own: &Process, now: Time) -> Option<usize> {
+        let others = self.processes.iter().filter(|p| p.id != own.id && now - p.beat < ALIVE);
+        others.map(|p| p.held).reduce(|all, held| all + held)
     }
 }
 
@@ -151,7 +154,7 @@
     const S: Time = 1_000_000;
 
     fn process(id: u64, started: Time, ready: bool, beat: Time) -> Process {
-        Process { id, started, ready, beat }
+        Process { id, started, ready, beat, held: 100 }
     }
 
     fn full() -> Handover {
@@ -209,11 +212,11 @@
         assert!(!with(process(2, 20 * S, false, 29 * S)).has_successor(&own, now), "not ready");
         assert!(!with(process(2, 20 * S, true, 27 * S)).has_successor(&own, now), "it died");
         assert!(!with(process(2, 5 * S, true, 29 * S)).has_successor(&own, now), "it was there before");
-        assert!(with(process(2, 5 * S, true, 29 * S)).has_others(&own, now));
-        assert!(!with(process(1, 10 * S, true, 29 * S)).has_others(&own, now), "itself");
+        assert_eq!(with(process(2, 5 * S, true, 29 * S)).held_by_others(&own, now), Some(100));
+        assert_eq!(with(process(1, 10 * S, true, 29 * S)).held_by_others(&own, now), None, "itself");
         let mut handover = with(process(2, 20 * S, true, 29 * S));
         handover.forget(2);
-        assert!(!handover.has_others(&own, now));
+        assert_eq!(handover.held_by_others(&own, now), None);
         (0..100).for_each(|i| handover.note(process(i, 0, true, now)));
         assert!(handover.processes.len() <= MOST_PROCESSES);
     }
--- a/src/state/phase.rs
+++ b/src/state/phase.rs
@@ -9,11 +9,15 @@
 /// After this nothing is read any more from clients that are sent away, so that four seconds after the call no
 /// request of the last two is held.
 const LATEST: Time = 1_600_000;
-/// The same where another process has taken over: what comes later than 0.7 s after the signal is owed an answer
-/// that there may be no time for.
-const QUIET_HANDING: Time = 300_000;
-/// See `QUIET_HANDING`.
-const LATEST_HANDING: Time = 600_000;
+/// A connection that is not used for so long is closed where another process has taken over.
+const QUIET_HANDING: Time = 1_200_000;
+/// How much before its end a process that hands over closes the last connections: what it has read by then is to
+/// be answered, too.
+const LAST_READ: Time = 1_500_000;
+/// At least so long after the signal it reads on.
+const FIRST_READ: Time = 600_000;
+/// How much before its end its last answers are given.
+const LAST_ANSWER: Time = 400_000;
 
 /// What the broker is about; the times say since when.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -27,8 +31,10 @@
     Leaving(Time),
     /// It was told to stop: connections are taken and kept for a moment more, since clients learn of it late.
     Stopping,
-    /// It was told to stop and another process takes its connections.
-    HandingOver(Time),
+    /// Another process serves in its place and takes all new connections; those that there are stay.
+    Yielding,
+    /// It was told to stop and another process takes its connections. It has so long until it may be ended.
+    HandingOver(Time, Time),
     /// It takes no connection any more and closes each between requests.
     Closing,
 }
@@ -42,8 +48,10 @@
     Leave,
     /// Staff take it back into use.
     Join,
-    /// It is told to stop; true if another process serves in its place.
-    Stop(bool),
+    /// Another process serves in its place, or does so no longer.
+    Yield(bool),
+    /// It is told to stop, and may be ended after this time.
+    Stop(Time),
     /// Connections were taken for long enough after that.
     Close,
 }
@@ -59,16 +67,17 @@
 impl Phase {
     /// The phase after a move. A call that is repeated changes nothing, nor its time.
     pub fn after(self, what: Move, now: Time) -> Result<Phase, NotNow> {
-        let stopping = matches!(self, Phase::Stopping | Phase::HandingOver(_) | Phase::Closing);
+        let stopping = matches!(self, Phase::Stopping | Phase::HandingOver(..) | Phase::Closing);
         Ok(match (what, self) {
             (Move::Started, Phase::Starting) => Phase::Serving,
-            (Move::Leave, Phase::Starting | Phase::Serving) => Phase::Leaving(now),
+            (Move::Leave, Phase::Starting | Phase::Serving | Phase::Yielding) => Phase::Leaving(now),
             (Move::Join, _) if stopping => return Err(NotNow::Stopping),
             (Move::Join, Phase::Leaving(_)) => Phase::Serving,
-            (Move::Stop(true), _) if !stopping => Phase::HandingOver(now),
-            // Staff have emptied it before: nobody is sent here any more.
-            (Move::Stop(false), Phase::Leaving(_)) => Phase::HandingOver(now),
-            (Move::Stop(false), _) if !stopping => Phase::Stopping,
+            (Move::Yield(true), Phase::Serving) => Phase::Yielding,
+            (Move::Yield(false), Phase::Yielding) => Phase::Serving,
+            // Of one that staff have emptied nobody knows any more, either.
+            (Move::Stop(grace), Phase::Yielding | Phase::Leaving(_)) => Phase::HandingOver(now, grace),
+            (Move::Stop(_), _) if !stopping => Phase::Stopping,
             (Move::Close, _) => Phase::Closing,
             (_, same) => same,
         })
@@ -76,22 +85,22 @@
 
     /// Whether clients are welcome: what `PING` says.
     pub fn welcomes(self) -> bool {
-        matches!(self, Phase::Serving | Phase::Stopping)
+        matches!(self, Phase::Serving | Phase::Yielding | Phase::Stopping)
     }
 
     /// Whether a client that is sent here now is served, as far as it depends on this: what `HEALTH` says.
     pub fn serves(self) -> bool {
-        self == Phase::Serving
+        matches!(self, Phase::Serving | Phase::Yielding)
     }
 
     /// Whether connections are taken.
     pub fn accepts(self) -> bool {
-        !matches!(self, Phase::HandingOver(_) | Phase::Closing)
+        !matches!(self, Phase::Yielding | Phase::HandingOver(..) | Phase::Closing)
     }
 
     /// Whether the process is about to end.
     pub fn stops(self) -> bool {
-        matches!(self, Phase::HandingOver(_) | Phase::Closing)
+        matches!(self, Phase::HandingOver(..) | Phase::Closing)
     }
 
     /// When a connection between requests is to be closed that was last of use at `since`: never, if nothing. It
@@ -99,7 +108,7 @@
     pub fn closes_at(self, since: Time, answer: bool) -> Option<Time> {
         let (at, quiet, latest) = match self {
             Phase::Leaving(at) => (at, QUIET, LATEST),
-            Phase::HandingOver(at) => (at, QUIET_HANDING, LATEST_HANDING),
+            Phase::HandingOver(at, grace) => (at, QUIET_HANDING, last_read(grace)),
             Phase::Closing => return Some(since),
             _ => return None,
         };
@@ -110,10 +119,23 @@
     pub fn deaf_at(self) -> Option<Time> {
         match self {
             Phase::Leaving(at) => Some(at + LATEST),
-            Phase::HandingOver(at) => Some(at + LATEST_HANDING),
+            Phase::HandingOver(at, grace) => Some(at + last_read(grace)),
             _ => None,
         }
     }
+
+    /// When a request that is taken now must have its answer, whatever its client would wait for.
+    pub fn answers_by(self) -> Option<Time> {
+        match self {
+            Phase::HandingOver(at, grace) => Some(at + grace - LAST_ANSWER),
+            _ => None,
+        }
+    }
+}
+
+/// How long a process reads on that may be ended so long after the signal.
+pub fn last_read(grace: Time) -> Time {
+    (grace - LAST_READ).max(FIRST_READ)
 }
 
 #[cfg(test)]
@@ -136,11 +158,21 @@
         assert_eq!(walk(&[started, (S, Move::Leave), (2 * S, Move::Join)]), Phase::Serving);
         let again = [started, (S, Move::Leave), (2 * S, Move::Join), (5 * S, Move::Leave)];
         assert_eq!(walk(&again), Phase::Leaving(5 * S));
-        assert_eq!(walk(&[started, (S, Move::Leave), (2 * S, Move::Stop(false))]), Phase::HandingOver(2 * S));
-        let stopped = [started, (S, Move::Stop(true)), (2 * S, Move::Leave), (3 * S, Move::Started)];
-        assert_eq!(walk(&stopped), Phase::HandingOver(S));
+        assert_eq!(
+            walk(&[started, (S, Move::Leave), (2 * S, Move::Stop(3 * S))]),
+            Phase::HandingOver(2 * S, 3 * S)
+        );
+        let yields = [started, (S, Move::Yield(true)), (2 * S, Move::Yield(false))];
+        assert_eq!(
+            (walk(&yields[..2]), walk(&yields)),
+            (Phase::Yielding, Phase::Serving),
+            "the new one died"
+        );
+        let stopped =
+            [yields[0], yields[1], (S, Move::Stop(3 * S)), (2 * S, Move::Leave), (3 * S, Move::Started)];
+        assert_eq!(walk(&stopped), Phase::HandingOver(S, 3 * S));
         assert_eq!(Phase::Stopping.after(Move::Join, S), Err(NotNow::Stopping));
-        assert_eq!(walk(&[started, (S, Move::Stop(false)), (2 * S, Move::Close)]), Phase::Closing);
+        assert_eq!(walk(&[started, (S, Move::Stop(3 * S)), (2 * S, Move::Close)]), Phase::Closing);
     }
 
     #[test]
@@ -150,7 +182,8 @@
         assert_eq!(told(Phase::Serving), (true, true, true));
         assert_eq!(told(Phase::Leaving(S)), (false, false, true), "fronts learn of it late");
         assert_eq!(told(Phase::Stopping), (true, false, true));
-        assert_eq!(told(Phase::HandingOver(S)), (false, false, false), "the next process takes them");
+        assert_eq!(told(Phase::HandingOver(S, 3 * S)), (false, false, false), "the next process takes them");
+        assert_eq!(told(Phase::Yielding), (true, true, false));
     }
 
     /// Guards against a connection that is held on, idle or with a late request, four seconds after the call.
@@ -163,6 +196,12 @@
         assert_eq!(leaving.closes_at(10 * S + 100_000, false), Some(10 * S + 100_000 + QUIET), "just come");
         assert_eq!(leaving.closes_at(13 * S, false), Some(10 * S + LATEST));
         assert!(leaving.deaf_at() < Some(12 * S), "what is read has two seconds to be answered");
-        assert!(Phase::HandingOver(10 * S).deaf_at() < Some(10 * S + 700_000));
+        // What is read has its answer before the process may be ended, however short its time is.
+        for grace in [1_900_000, 3_700_000] {
+            let handing = Phase::HandingOver(10 * S, grace);
+            assert!(handing.deaf_at() <= handing.answers_by(), "{grace}");
+            assert!(handing.answers_by() < Some(10 * S + grace), "{grace}");
+            assert_eq!(handing.closes_at(9 * S, true), Some(10 * S + QUIET_HANDING.min(last_read(grace))));
+        }
     }
 }
--- a/src/state/planner.rs
+++ b/src/state/planner.rs
@@ -100,8 +100,8 @@
     Nodes(ListKind, Vec<Member>),
     /// A probe ended.
     Probed(NodeId, Ending, Option<f64>),
-    /// So many links there may be from now on.
-    Links(usize),
+    /// So many links there may be from now on; not more than there are, if nothing.
+    Links(Option<usize>),
     /// Whoever holds the other end is told once the turn is over that took all before this.
     Reached(oneshot::Sender<()>),
 }
@@ -361,7 +361,7 @@
             }
             Input::Probed(node, ending, util) => self.events.push(Event::Probed(node, ending, util)),
             Input::Links(most) => {
-                for link in self.pool.bound(most) {
+                for link in self.pool.bound(most.unwrap_or(self.pool.len())) {
                     self.pool.remove(now, link, false);
                     effects.push(Effect::Close(link));
                 }
--- a/src/wire/admin/serve.rs
+++ b/src/wire/admin/serve.rs
@@ -11,7 +11,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 /// Callers at once. Descriptors are set aside for them.
-pub const MOST_CALLERS: usize = 24;
+pub const MOST_CALLERS: usize = 16;
 /// How long a caller may take to finish its line.
 const PATIENCE: Duration = Duration::from_secs(5);
 /// How long it may take to read its answer.
--- a/src/wire/resp/server.rs
+++ b/src/wire/resp/server.rs
@@ -218,7 +218,7 @@
             class,
             plan,
             key: None,
-            due: now + wait - TRANSIT,
+            due: self.common.phase.borrow().answers_by().unwrap_or(Time::MAX).min(now + wait - TRANSIT),
             volume: String::from_utf8_lossy(volume).into_owned(),
             units: f64::from(units),
             shard,
