--- a/src/run/handover.rs
+++ b/src/run/handover.rs
@@ -5,6 +5,7 @@
 use crate::state::handover::{Handover, NodeLeft, Process, MOST_BYTES};
 use crate::state::phase::{Move, Phase};
 use crate::state::planner::{Input, Member, Wire};
+use crate::state::pool::FEW_LINKS;
 use crate::state::upkeep::Upkeep;
 use crate::wire::admin::desk::{step, Keep};
 use crate::wire::clock::Clock;
@@ -157,7 +158,8 @@
     fn write(&mut self, now: Time) -> bool {
         let mut handover = read(&self.path).unwrap_or_default();
         self.tell(self.upkeep.borrow_mut().merge(now, std::mem::take(&mut handover.bans)));
-        (self.own.beat, self.own.held) = (now, held().unwrap_or(self.descriptors / 2));
+        let few = if self.own.ready { 0 } else { FEW_LINKS };
+        (self.own.beat, self.own.held) = (now, held().map_or(self.descriptors / 2, |held| held + few));
         handover.note(self.own);
         handover.bans = self.upkeep.borrow().bans();
         if handover.revision <= self.revision.get() {
--- a/src/state/planner.rs
+++ b/src/state/planner.rs
@@ -3,7 +3,7 @@
 //! sockets. It knows no wire: a request and a reply pass through it unread.
 
 use super::deadlines::{Deadlines, Lateness};
-use super::pool::{Lane, LinkId, LinkTerms, Pick, Pool, PoolLimits};
+use super::pool::{Lane, LinkId, LinkTerms, Pick, Pool, PoolLimits, FEW_LINKS};
 use crate::interface::{Action, Arrival, Ending, Event, ListKind, NodeEntry, NodeId, NodeState};
 use crate::interface::{Outcome, RequestId, Settings, SettingsError, ShardId, Time};
 use crate::rules::Scheduler;
@@ -119,7 +119,7 @@
     Probed(NodeId, Ending, Option<f64>),
     /// New settings; see [`Event::Settings`].
     Settings(Box<Settings>, LinkTerms),
-    /// So many links there may be from now on; not more than there are, if nothing.
+    /// So many links there may be from now on; if nothing, few more than there are.
     Links(Option<usize>),
     /// Whoever holds the other end is told once the turn is over that took all before this.
     Reached(oneshot::Sender<()>),
@@ -398,7 +398,7 @@
                 self.events.push(Event::Settings(settings));
             }
             Input::Links(most) => {
-                for link in self.pool.bound(most.unwrap_or(self.pool.len())) {
+                for link in self.pool.bound(most.unwrap_or(self.pool.len() + FEW_LINKS)) {
                     self.pool.remove(now, link, false);
                     effects.push(Effect::Close(link));
                 }
--- a/src/state/pool.rs
+++ b/src/state/pool.rs
@@ -29,6 +29,9 @@
     pub idle: Time,
 }
 
+/// Links that a process may still open which another one has superseded: those that it has may break.
+pub const FEW_LINKS: usize = 16;
+
 /// A link as the pool knows it.
 #[derive(Debug)]
 struct Link {
