--- a/tests/daily.rs
+++ b/tests/daily.rs
@@ -169,12 +169,12 @@
     let mut idle = connect(&broker.listen);
     assert_eq!(ask(&mut idle, 1, "page-read"), "value");
     let half = command(2, "page-read");
-    busy.write_all(half[..20].as_bytes()).expect("half a request");
+    busy.write_all(&half.as_bytes()[..20]).expect("half a request");
     let start = Instant::now();
     assert!(call(&admin, "LEAVE").starts_with("200"));
     assert!(ping(&broker.listen).starts_with("-ERR"));
     assert!(call(&admin, "HEALTH").starts_with("400"));
-    busy.write_all(half[20..].as_bytes()).expect("the rest");
+    busy.write_all(&half.as_bytes()[20..]).expect("the rest");
     assert_eq!(line(&mut busy).expect("an answer"), "$5");
     assert_eq!(line(&mut busy).expect("a value"), "value");
     assert_eq!(busy.read(&mut [0]).expect("the end"), 0, "closed right after its answer");
