Bound the zones that reloads leave behind, and drop a key that no entry has

Seen in a look over the whole change: Tuning kept every zone that any file had named, without an end (run/tuning.rs, take), and the keys of an entry named most_tries, which stands under bounds. Change: 256 zones as for plans, checked before anything is taken, with a test; the key is gone.

--- a/src/run/settings.rs
+++ b/src/run/settings.rs
@@ -256,7 +256,7 @@
 }
 
 /// Keys of a class, and of a plan, that each of them has where all in force have it.
-const OF_ENTRY: [&str; 13] = [
+const OF_ENTRY: [&str; 12] = [
     "name",
     "deadline_s",
     "promise_s",
@@ -269,7 +269,6 @@
     "floor_rate",
     "parts",
     "price",
-    "most_tries",
 ];
 
 /// The first key that settings in force have and new ones lack: a file that lost one must not pass for one that leaves
--- a/src/run/tuning.rs
+++ b/src/run/tuning.rs
@@ -14,6 +14,8 @@
 /// Most plans that a process ever knows. Volumes that stood on one are remembered for a while after it was dropped, so
 /// its place is not given away.
 const MOST_PLANS: usize = 256;
+/// Most zones that a process ever knows: nodes of a dropped one are listed for a while.
+const MOST_ZONES: usize = 256;
 
 /// What the settings in force are made of.
 #[derive(Default)]
@@ -50,6 +52,15 @@
         if plans.len() > MOST_PLANS {
             return Err(format!("more than {MOST_PLANS} plans since the start"));
         }
+        let mut zones = self.zones.clone();
+        for zone in start.zones {
+            if !zones.contains(&zone) {
+                zones.push(zone);
+            }
+        }
+        if zones.len() > MOST_ZONES {
+            return Err(format!("more than {MOST_ZONES} zones since the start"));
+        }
         let class = |(place, name): (usize, String)| ClassTerms {
             deadline: start.deadlines[place],
             writes: writes.get(&name).copied(),
@@ -57,12 +68,7 @@
             class: start.settings.classes[place].clone(),
         };
         let classes = self.classes.take(start.classes.into_iter().enumerate().map(class).collect());
-        (self.plans, self.writes) = (plans, writes);
-        for zone in start.zones {
-            if !self.zones.contains(&zone) {
-                self.zones.push(zone);
-            }
-        }
+        (self.plans, self.writes, self.zones) = (plans, writes, zones);
         let terms = Terms {
             classes,
             plans: of_plan,
@@ -182,6 +188,21 @@
         );
     }
 
+    /// Guards against what many reloads leave behind.
+    #[test]
+    fn zones_keep_their_places_and_are_bounded() {
+        let mut tuning = Tuning::default();
+        let with = |zones: &[String]| Start {
+            zones: zones.to_vec(),
+            ..start(&[("read", "free", 500)], "[false]", &["gold"])
+        };
+        tuning.take(with(&["a".to_string(), "b".to_string()])).expect("taken");
+        tuning.take(with(&["b".to_string(), "c".to_string()])).expect("taken");
+        assert_eq!(tuning.zones(), ["a", "b", "c"]);
+        let refused = (0..2 * MOST_ZONES).filter(|i| tuning.take(with(&[format!("z{i}")])).is_err()).count();
+        assert_eq!((tuning.zones().len(), refused), (MOST_ZONES, MOST_ZONES + 3));
+    }
+
     #[test]
     fn nothing_changes_by_settings_that_make_no_sense() {
         let mut tuning = Tuning::default();
