--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,4 +10,6 @@
 pub mod experiment;
 pub mod load;
 pub mod nbd;
+pub mod rig;
+pub mod simulated;
 pub mod truth;
--- /dev/null
+++ b/crates/lab/src/simulated.rs
@@ -0,0 +1,398 @@
+//! A simulated clock and network around the program's own membership modules: one thread, seeded, so that a run
+//! plays again exactly. Faults are put between brokers, and every view that any of them adopts is noted.
+
+use claywinch::interface::Time;
+use claywinch::state::membership::node::{Body, Node, Output, Packet, Phase};
+use claywinch::state::membership::{Settings, View};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::panic::{catch_unwind, AssertUnwindSafe};
+
+/// One second, in the unit of [`Time`].
+pub const SECOND: Time = 1_000_000;
+/// Between two turns of a broker that nothing reaches.
+const TURN: Time = 100_000;
+/// Packets that wait at a paused broker; more are lost, as at a full socket.
+const MOST_WAITING: usize = 512;
+
+/// What one direction between two brokers does to packets.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Link {
+    /// Part that is lost; 1 is a cut.
+    pub loss: f64,
+    /// Least and most time on the way, in microseconds: a spread reorders.
+    pub delay: (Time, Time),
+    /// Part that arrives twice.
+    pub twice: f64,
+}
+
+impl Default for Link {
+    fn default() -> Self {
+        Link { loss: 0.0, delay: (100, 600), twice: 0.0 }
+    }
+}
+
+impl Link {
+    /// Nothing passes.
+    pub const CUT: Link = Link { loss: 1.0, delay: (0, 1), twice: 0.0 };
+}
+
+/// A broker's host: the process may come and go, what was kept stays.
+#[derive(Default)]
+pub struct Host {
+    /// The process, if it runs.
+    pub node: Option<Node>,
+    /// What it kept last.
+    pub kept: Option<Vec<u8>>,
+    /// Until when it stands still.
+    pub paused: Time,
+    /// Every packet waits so long before it is read.
+    pub slow: Time,
+    /// Dies after so many more things done: in the middle of a turn.
+    pub dies_after: Option<usize>,
+    /// Its disk takes nothing more.
+    pub full: bool,
+    /// Packets sent, and their bytes as encoded.
+    pub sent: (u64, u64),
+    /// The highest view of this life.
+    seen: u64,
+    waiting: Vec<Packet>,
+    starts: u64,
+    turn: u64,
+}
+
+/// What broke, with the time.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Broken(pub Time, pub String);
+
+/// All that the checkers look at.
+#[derive(Debug, Default)]
+pub struct History {
+    views: BTreeMap<u64, (View, Time)>,
+    /// Who was left out of a view, and when that was first adopted.
+    pub removed: Vec<(Time, String, u64)>,
+    /// What broke.
+    pub broken: Vec<Broken>,
+}
+
+impl History {
+    /// Takes a view that a broker has adopted after `seen`: there is one of each number, numbers go up, and
+    /// incarnations, too.
+    pub fn adopted(&mut self, now: Time, by: &str, seen: u64, view: &View) {
+        let mut broke = |what: String| self.broken.push(Broken(now, what));
+        if view.number <= seen {
+            broke(format!("{by} goes back from view {seen} to {}", view.number));
+        }
+        match self.views.get(&view.number) {
+            Some((other, _)) if other != view => {
+                broke(format!(
+                    "view {} splits: {by} has {:?}, another {:?}",
+                    view.number,
+                    names(view),
+                    names(other)
+                ));
+            }
+            Some(_) => {}
+            None => {
+                for m in view.members.iter().filter(|m| m.incarnation > view.number) {
+                    broke(format!("{} has an incarnation of a later view", m.name));
+                }
+                let before = self.views.range(..view.number).next_back().map(|(_, (v, _))| v);
+                for old in before.map(|v| v.members.as_slice()).unwrap_or_default() {
+                    match view.member(&old.name) {
+                        None => self.removed.push((now, old.name.clone(), view.number)),
+                        Some(new) if new.incarnation < old.incarnation => {
+                            broke(format!("{} comes back as incarnation {}", old.name, new.incarnation));
+                        }
+                        Some(_) => {}
+                    }
+                }
+                self.views.insert(view.number, (view.clone(), now));
+            }
+        }
+    }
+
+    /// The last view that anyone adopted.
+    pub fn last(&self) -> Option<&View> {
+        self.views.values().next_back().map(|(v, _)| v)
+    }
+
+    /// When a view was first adopted.
+    pub fn first_of(&self, number: u64) -> Option<Time> {
+        self.views.get(&number).map(|(_, at)| *at)
+    }
+}
+
+fn names(view: &View) -> Vec<String> {
+    view.members.iter().map(|m| format!("{}/{}", m.name, m.incarnation)).collect()
+}
+
+enum Event {
+    Turn(usize, u64),
+    Arrive(usize, Packet),
+}
+
+/// Brokers, links and the time.
+pub struct World {
+    /// The time, in microseconds.
+    pub now: Time,
+    /// The brokers' hosts, by number.
+    pub hosts: Vec<Host>,
+    /// Links that are not as the others; from, to.
+    pub links: BTreeMap<(usize, usize), Link>,
+    /// All others.
+    pub link: Link,
+    /// What was seen.
+    pub history: History,
+    /// For chance; schedules may draw from it, too.
+    pub chance: StdRng,
+    /// Counts bytes of packets, which costs time.
+    pub weighs: bool,
+    voters: usize,
+    silence: Time,
+    queue: BinaryHeap<Reverse<(Time, u64, usize)>>,
+    events: Vec<Option<Event>>,
+    free: Vec<usize>,
+    number: u64,
+}
+
+/// A host's name.
+pub fn name(host: usize) -> String {
+    format!("b{host:03}")
+}
+
+impl World {
+    /// So many hosts, none of which runs, with this many seeds.
+    pub fn new(seed: u64, hosts: usize, voters: usize) -> World {
+        World {
+            now: 0,
+            hosts: (0..hosts).map(|_| Host::default()).collect(),
+            links: BTreeMap::new(),
+            link: Link::default(),
+            history: History::default(),
+            chance: StdRng::seed_from_u64(seed),
+            weighs: false,
+            voters,
+            silence: 4 * SECOND,
+            queue: BinaryHeap::new(),
+            events: Vec::new(),
+            free: Vec::new(),
+            number: 0,
+        }
+    }
+
+    /// What a host is told.
+    pub fn settings(&self, host: usize) -> Settings {
+        Settings {
+            cluster: "sim".to_string(),
+            name: name(host),
+            address: name(host),
+            seeds: (0..self.voters).map(name).collect(),
+            probe: SECOND / 2,
+            silence: self.silence,
+            settle: SECOND / 2,
+            replace: 30 * SECOND,
+        }
+    }
+
+    fn push(&mut self, at: Time, event: Event) {
+        let place = match self.free.pop() {
+            Some(place) => {
+                self.events[place] = Some(event);
+                place
+            }
+            None => {
+                self.events.push(Some(event));
+                self.events.len() - 1
+            }
+        };
+        self.number += 1;
+        self.queue.push(Reverse((at, self.number, place)));
+    }
+
+    /// Starts a host's process, with what it kept.
+    pub fn start(&mut self, host: usize) {
+        let (set, life) = (self.settings(host), self.chance.random());
+        let now = self.now;
+        let h = &mut self.hosts[host];
+        h.starts += 1;
+        h.seen = 0;
+        h.paused = 0;
+        h.dies_after = None;
+        h.waiting.clear();
+        match Node::new(now, set, life, h.kept.as_deref()) {
+            Ok(node) => h.node = Some(node),
+            Err(error) => {
+                self.history.broken.push(Broken(now, format!("{} does not start: {error}", name(host))))
+            }
+        }
+        self.schedule(host, now + 1);
+    }
+
+    fn schedule(&mut self, host: usize, at: Time) {
+        self.hosts[host].turn += 1;
+        let turn = self.hosts[host].turn;
+        self.push(at, Event::Turn(host, turn));
+    }
+
+    /// Ends a host's process without a word.
+    pub fn kill(&mut self, host: usize) {
+        self.hosts[host].node = None;
+        self.hosts[host].turn += 1;
+    }
+
+    /// Stops a host's process for a while.
+    pub fn pause(&mut self, host: usize, time: Time) {
+        self.hosts[host].paused = self.now + time;
+    }
+
+    /// The link from one host to another.
+    pub fn between(&self, from: usize, to: usize) -> Link {
+        self.links.get(&(from, to)).copied().unwrap_or(self.link)
+    }
+
+    /// Cuts off what goes from some to others.
+    pub fn cut(&mut self, from: &[usize], to: &[usize]) {
+        for a in from {
+            for b in to {
+                self.links.insert((*a, *b), Link::CUT);
+            }
+        }
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, time: Time) {
+        let end = self.now + time;
+        while let Some(Reverse((at, _, place))) = self.queue.peek().copied() {
+            if at > end {
+                break;
+            }
+            self.queue.pop();
+            self.now = self.now.max(at);
+            let event = self.events[place].take();
+            self.free.push(place);
+            match event {
+                Some(Event::Turn(host, turn)) if self.hosts[host].turn == turn => self.turn(host),
+                Some(Event::Arrive(host, packet)) => self.arrive(host, packet),
+                _ => {}
+            }
+        }
+        self.now = end;
+    }
+
+    fn arrive(&mut self, host: usize, packet: Packet) {
+        let h = &mut self.hosts[host];
+        let Some(node) = &mut h.node else { return };
+        if h.paused > self.now {
+            if h.waiting.len() < MOST_WAITING {
+                h.waiting.push(packet);
+            }
+            return;
+        }
+        match catch_unwind(AssertUnwindSafe(|| node.receive(self.now, packet))) {
+            Ok(()) => self.act(host),
+            Err(_) => self.ends(host, "panic"),
+        }
+    }
+
+    fn ends(&mut self, host: usize, why: &str) {
+        self.history.broken.push(Broken(self.now, format!("{} cannot go on: {why}", name(host))));
+        self.kill(host);
+    }
+
+    /// Puts a process that ran before into a host.
+    pub fn put(&mut self, host: usize, node: Node) -> Option<Node> {
+        self.hosts[host].seen = node.view().number;
+        self.hosts[host].node.replace(node)
+    }
+
+    fn turn(&mut self, host: usize) {
+        let h = &mut self.hosts[host];
+        if h.paused > self.now {
+            let at = h.paused;
+            return self.schedule(host, at);
+        }
+        // What waited is read first, or after the timer.
+        let waiting = std::mem::take(&mut h.waiting);
+        if self.chance.random::<bool>() {
+            self.act(host);
+        }
+        for packet in waiting {
+            self.arrive(host, packet);
+        }
+        self.act(host);
+        let at = self.now + TURN;
+        self.schedule(host, at);
+    }
+
+    /// Does what a broker wants, in its order; it may die in the middle.
+    fn act(&mut self, host: usize) {
+        let now = self.now;
+        let Some(node) = &mut self.hosts[host].node else { return };
+        // The consensus panics where a voter has forgotten what it promised: that process is over.
+        let wants = match catch_unwind(AssertUnwindSafe(|| node.turn(now))) {
+            Ok(Ok(wants)) => wants,
+            Ok(Err(error)) => return self.ends(host, &error.to_string()),
+            Err(_) => return self.ends(host, "panic"),
+        };
+        for want in wants {
+            if let Some(left) = &mut self.hosts[host].dies_after {
+                if *left == 0 {
+                    return self.kill(host);
+                }
+                *left -= 1;
+            }
+            match want {
+                Output::Keep(_) if self.hosts[host].full => return self.kill(host),
+                Output::Keep(bytes) => self.hosts[host].kept = Some(bytes),
+                Output::Send(to, packet) => self.send(host, &to, packet),
+                Output::View(view) => {
+                    let seen = std::mem::replace(&mut self.hosts[host].seen, view.number);
+                    self.history.adopted(now, &name(host), seen, &view);
+                }
+                Output::Log(_) => {}
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: &str, packet: Packet) {
+        let Some(to) = to.strip_prefix('b').and_then(|n| n.parse::<usize>().ok()) else { return };
+        let h = &mut self.hosts[from];
+        h.sent.0 += 1;
+        if self.weighs {
+            // The encoded size, without making the bytes.
+            let body = match &packet.body {
+                Body::Raft(bytes) => bytes.len(),
+                Body::View(view) => 24 + 40 * view.members.len(),
+                _ => 8,
+            };
+            h.sent.1 += (40 + packet.cluster.len() + packet.from.len() + packet.address.len() + body) as u64;
+        }
+        let link = self.between(from, to);
+        if to >= self.hosts.len() || self.chance.random::<f64>() < link.loss {
+            return;
+        }
+        let copies = 1 + usize::from(self.chance.random::<f64>() < link.twice);
+        for _ in 0..copies {
+            let delay = self.chance.random_range(link.delay.0..=link.delay.1) + self.hosts[to].slow;
+            self.push(self.now + delay, Event::Arrive(to, packet.clone()));
+        }
+    }
+
+    /// Those that run, and where they stand.
+    pub fn phases(&self) -> Vec<(usize, Phase, u64)> {
+        let running = self.hosts.iter().enumerate();
+        running.filter_map(|(i, h)| h.node.as_ref().map(|n| (i, n.phase(), n.view().number))).collect()
+    }
+
+    /// Whether all that run are members of one view that holds nobody else.
+    pub fn agree(&self) -> bool {
+        let running: BTreeSet<String> = self.phases().iter().map(|(i, ..)| name(*i)).collect();
+        let mut views = self.hosts.iter().filter_map(|h| h.node.as_ref()).map(Node::view);
+        let Some(first) = views.next() else { return false };
+        let members: BTreeSet<String> = first.members.iter().map(|m| m.name.clone()).collect();
+        members == running && views.all(|v| v == first) && self.phases().iter().all(|p| p.1 == Phase::Member)
+    }
+}
--- /dev/null
+++ b/src/state/membership/node.rs
@@ -0,0 +1,587 @@
+//! One broker's part in its cluster: a state machine fed with packets and time.
+
+use super::council::{Council, CouncilError, Roll};
+use super::cut::Cut;
+use super::edges::{Edges, Subject};
+use super::rings::Rings;
+use super::{mix, Member, Name, Seat, Settings, View, MOST_NAME};
+use crate::interface::Time;
+use protobuf::Message as _;
+use raft::eraftpb::{ConfChangeType, Message};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// A tick of the consensus, in microseconds.
+pub const TICK: Time = 100_000;
+/// Between two repeats of what observers tell.
+const REPEAT: Time = 1_000_000;
+/// Between two questions for a later view.
+const ASK: Time = 100_000;
+/// Joins that wait for a view; more are dropped, and asked again.
+const MOST_JOINS: usize = 256;
+/// Seats beyond the voters wanted: one dead and one that learns for each.
+const SEATS_EACH: usize = 2;
+/// Members that have gone and are still shown.
+const MOST_DEPARTED: usize = 32;
+
+/// What one broker says to another.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Body {
+    /// Asks whether the other lives; when it was sent, by the sender's clock.
+    Probe(Time),
+    /// Answers that probe.
+    Ack(Time),
+    /// Asks for the view.
+    Ask,
+    /// A committed view.
+    View(View),
+    /// Asks to be taken in, knowing the view of that number; the seat that it has kept.
+    Join(u64, Option<u64>),
+    /// Goes.
+    Leave,
+    /// Those of the sender's subjects whose edges are down.
+    Down(BTreeSet<Name>),
+    /// For the consensus.
+    Raft(Vec<u8>),
+    /// A founder's word: whether it has founded, and the lives (by address) that it counted on.
+    Founder(bool, Roll),
+}
+
+/// A message. Whatever the body, it tells how far its sender is.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Packet {
+    /// The cluster's name.
+    pub cluster: String,
+    /// The sender's name.
+    pub from: Name,
+    /// Where the sender is reached.
+    pub address: String,
+    /// The sender's life.
+    pub life: u64,
+    /// The sender's incarnation; 0 while it belongs to no view.
+    pub incarnation: u64,
+    /// The number of the last view that the sender knows.
+    pub view: u64,
+    /// What it says.
+    pub body: Body,
+}
+
+/// Where a broker stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Phase {
+    /// In no view, and asking for it.
+    Joining,
+    /// Belongs.
+    Member,
+    /// Has asked to go.
+    Leaving,
+    /// Has gone.
+    Left,
+    /// Another life of its name has taken its place.
+    Replaced,
+}
+
+/// What is to be done, in this order.
+#[derive(Debug)]
+pub enum Output {
+    /// To be kept before anything that follows; if that fails, nothing that follows may be done.
+    Keep(Vec<u8>),
+    /// To be sent to an address.
+    Send(String, Packet),
+    /// The view that now holds here.
+    View(View),
+    /// For the log.
+    Log(String),
+}
+
+/// One broker's part.
+pub struct Node {
+    set: Settings,
+    life: u64,
+    phase: Phase,
+    incarnation: u64,
+    view: View,
+    rings: Rings,
+    edges: Edges,
+    cut: Cut,
+    council: Option<Council>,
+    /// The last word of each other founder: its name, its life, whether it has founded, and on whom it counted.
+    founding: BTreeMap<String, (Name, u64, bool, Roll)>,
+    joins: BTreeMap<Name, (Member, Option<u64>)>,
+    leaves: BTreeMap<Name, u64>,
+    unseated: BTreeMap<u64, Time>,
+    /// Who was in an earlier view and is in this one no more; the last few.
+    departed: VecDeque<Member>,
+    led: bool,
+    tick: Time,
+    repeat: Time,
+    join: Time,
+    ask: Time,
+    out: Vec<Output>,
+}
+
+impl Node {
+    /// A broker at its start. `life` is drawn anew at each; `kept` is what was kept last.
+    pub fn new(now: Time, set: Settings, life: u64, kept: Option<&[u8]>) -> Result<Node, CouncilError> {
+        let council = kept.map(Council::restore).transpose()?;
+        let last = council.as_ref().map(|c| c.view().clone()).unwrap_or_default();
+        let mut node = Node {
+            edges: Edges::new(set.probe, set.silence),
+            phase: Phase::Joining,
+            incarnation: 0,
+            view: View::default(),
+            rings: Rings::default(),
+            cut: Cut::default(),
+            council,
+            founding: BTreeMap::new(),
+            joins: BTreeMap::new(),
+            leaves: BTreeMap::new(),
+            unseated: BTreeMap::new(),
+            departed: VecDeque::new(),
+            led: false,
+            tick: now,
+            repeat: now,
+            join: now,
+            ask: now,
+            out: Vec::new(),
+            set,
+            life,
+        };
+        node.adopt(now, last);
+        // What was kept at another address may be a copy, whose first still votes: it comes in without a seat.
+        let id = node.council.as_ref().map(Council::id);
+        if node.view.seats.iter().any(|s| Some(s.id) == id && s.address != node.set.address) {
+            node.council = None;
+        }
+        Ok(node)
+    }
+
+    /// Where it stands.
+    pub fn phase(&self) -> Phase {
+        self.phase
+    }
+
+    /// Its incarnation; 0 while it belongs to no view.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// The last view it knows.
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// Whether it leads the voters, as far as it knows.
+    pub fn leads(&self) -> bool {
+        self.council.as_ref().is_some_and(Council::leads)
+    }
+
+    /// Those of the view that are suspected, as far as it knows: as leader, or by its own edges.
+    pub fn suspects(&self) -> BTreeSet<Name> {
+        self.edges.down().chain(self.cut.suspects()).cloned().collect()
+    }
+
+    /// Members that have gone, the last few.
+    pub fn departed(&self) -> &VecDeque<Member> {
+        &self.departed
+    }
+
+    /// Whose state was kept, if it is another broker's: a copied folder must not vote under two names.
+    pub fn stranger(&self) -> Option<Name> {
+        let id = self.council.as_ref()?.id();
+        let seat = self.view.seats.iter().find(|s| s.id == id)?;
+        (seat.name != self.set.name).then(|| seat.name.clone())
+    }
+
+    /// Comes back after it has left.
+    pub fn join(&mut self) {
+        match self.phase {
+            Phase::Left => self.phase = Phase::Joining,
+            Phase::Leaving => self.phase = Phase::Member,
+            _ => {}
+        }
+    }
+
+    /// Asks to go, until it is asked to come back.
+    pub fn leave(&mut self) {
+        self.phase = match self.phase {
+            Phase::Member => Phase::Leaving,
+            Phase::Joining => Phase::Left,
+            phase => phase,
+        };
+    }
+
+    fn packet(&self, body: Body) -> Packet {
+        Packet {
+            cluster: self.set.cluster.clone(),
+            from: self.set.name.clone(),
+            address: self.set.address.clone(),
+            life: self.life,
+            incarnation: self.incarnation,
+            view: self.view.number,
+            body,
+        }
+    }
+
+    fn send(&mut self, to: &str, body: Body) {
+        if to != self.set.address {
+            let packet = self.packet(body);
+            self.out.push(Output::Send(to.to_string(), packet));
+        }
+    }
+
+    /// Voters as far as they are known, else the seeds.
+    fn voters(&self) -> Vec<String> {
+        let known: Vec<String> = self.view.seats.iter().map(|s| s.address.clone()).collect();
+        if known.is_empty() {
+            self.set.seeds.clone()
+        } else {
+            known
+        }
+    }
+
+    /// Where the voter of a number is reached: by its seat, or as a founder.
+    fn seat(&self, id: u64) -> Option<String> {
+        let seat = self.view.seats.iter().find(|s| s.id == id).map(|s| s.address.clone());
+        let founders = &self.set.seeds[..self.set.founders()];
+        seat.or_else(|| founders.get(usize::try_from(id).ok()?.checked_sub(1)?).cloned())
+    }
+
+    /// Takes a packet. One of another cluster, or that makes no sense here, is dropped.
+    pub fn receive(&mut self, now: Time, packet: Packet) {
+        let short = |s: &str| !s.is_empty() && s.len() <= MOST_NAME;
+        if packet.cluster != self.set.cluster || !short(&packet.from) || !short(&packet.address) {
+            return;
+        }
+        let Packet { from, address, life, incarnation, view, body, .. } = packet;
+        // The consensus counts its voters itself, members or not.
+        match body {
+            Body::Raft(bytes) => {
+                if let (Some(council), Ok(message)) = (&mut self.council, Message::parse_from_bytes(&bytes)) {
+                    council.step(message);
+                }
+                return;
+            }
+            Body::Founder(founded, roll) => return self.founder(address, from, life, founded, roll),
+            Body::View(view) => return self.adopt(now, view),
+            Body::Ask => return self.tell(&address),
+            _ => {}
+        }
+        if view > self.view.number && now >= self.ask {
+            self.ask = now + ASK;
+            self.send(&address, Body::Ask);
+        }
+        // A former life, or one that was cut: it is told, and acts as no member.
+        if incarnation > 0 && view <= self.view.number && !self.view.holds(&from, incarnation) {
+            return self.tell(&address);
+        }
+        match body {
+            Body::Probe(at) if self.incarnation > 0 => self.send(&address, Body::Ack(at)),
+            Body::Ack(at) => self.edges.answered(now, &from, incarnation, at),
+            Body::Join(seen, seat) => self.joins(from, address, life, seen, seat),
+            Body::Leave if self.view.holds(&from, incarnation) => {
+                self.forward(&address, from.clone(), life, incarnation, Body::Leave);
+                self.leaves.insert(from, incarnation);
+            }
+            Body::Down(down) if view == self.view.number && self.view.holds(&from, incarnation) => {
+                self.cut.told(now, &from, down);
+            }
+            _ => {}
+        }
+    }
+
+    fn tell(&mut self, address: &str) {
+        if self.view.number > 0 {
+            let view = self.view.clone();
+            self.send(address, Body::View(view));
+        }
+    }
+
+    /// Hands on to the leader what only it can do.
+    fn forward(&mut self, address: &str, from: Name, life: u64, incarnation: u64, body: Body) {
+        let Some(council) = self.council.as_ref().filter(|c| !c.leads()) else { return };
+        let Some(to) = council.leader().and_then(|id| self.seat(id)) else { return };
+        let packet = Packet { from, address: address.to_string(), life, incarnation, ..self.packet(body) };
+        self.out.push(Output::Send(to, packet));
+    }
+
+    /// Takes a wish to be let in. It must name the view of now: one that was long on its way is of a former life.
+    fn joins(&mut self, from: Name, address: String, life: u64, seen: u64, seat: Option<u64>) {
+        let known = self.view.member(&from).is_some_and(|m| m.life == life);
+        if known || seen != self.view.number {
+            return self.tell(&address);
+        }
+        if !self.leads() {
+            return self.forward(&address, from, life, 0, Body::Join(seen, seat));
+        }
+        if self.joins.len() < MOST_JOINS || self.joins.contains_key(&from) {
+            let member = Member { name: from.clone(), address, incarnation: 0, life };
+            self.joins.insert(from, (member, seat));
+        }
+    }
+
+    /// Takes a committed view, if it is later than what is known here and of the same founding.
+    fn adopt(&mut self, now: Time, view: View) {
+        let other = self.view.number > 0 && view.origin != self.view.origin;
+        if other || view.number <= self.view.number {
+            return;
+        }
+        let was = self.incarnation;
+        let old = std::mem::replace(&mut self.view, view);
+        self.departed.retain(|m| self.view.member(&m.name).is_none());
+        self.departed.extend(old.members.into_iter().filter(|m| self.view.member(&m.name).is_none()));
+        self.departed.drain(..self.departed.len().saturating_sub(MOST_DEPARTED));
+        self.rings = Rings::of(&self.view);
+        self.cut.clear();
+        self.joins.clear();
+        let holds = |(n, i): (&Name, &mut u64)| self.view.holds(n, *i);
+        self.leaves.retain(|n, i| holds((n, i)));
+        let own = self.view.member(&self.set.name).cloned();
+        self.incarnation = own.as_ref().filter(|m| m.life == self.life).map_or(0, |m| m.incarnation);
+        self.phase = match (self.phase, own) {
+            (phase @ (Phase::Left | Phase::Replaced), _) => phase,
+            (phase, Some(m)) if m.life == self.life => {
+                if phase == Phase::Leaving {
+                    phase
+                } else {
+                    Phase::Member
+                }
+            }
+            (Phase::Leaving, _) => Phase::Left,
+            // A later life has come. One that was there before is that which this one is to follow.
+            (_, Some(m)) if was > 0 && m.incarnation > was => Phase::Replaced,
+            _ => Phase::Joining,
+        };
+        // A seat is given up with the view that takes it, and to a later life of this name.
+        let seated =
+            |c: &Council| self.view.seats.is_empty() || self.view.seats.iter().any(|s| s.id == c.id());
+        if self.phase == Phase::Replaced || !self.council.as_ref().is_none_or(seated) {
+            self.council = None;
+        }
+        if was != self.incarnation {
+            let (phase, number) = (self.phase, self.view.number);
+            let is = self.incarnation;
+            self.out.push(Output::Log(format!("view {number}: {phase:?}, incarnation {was} -> {is}")));
+        }
+        let place = self.view.members.iter().position(|m| m.name == self.set.name && m.life == self.life);
+        let subjects = place.map(|p| self.rings.subjects[p].clone()).unwrap_or_default();
+        let subject = |i: usize| {
+            let m = &self.view.members[i];
+            Subject { name: m.name.clone(), incarnation: m.incarnation, address: m.address.clone() }
+        };
+        self.edges.watch(now, subjects.into_iter().map(subject));
+        self.repeat = now;
+        self.join = self.join.min(now);
+        self.out.push(Output::View(self.view.clone()));
+    }
+
+    /// Founders other than this one.
+    fn others(&self) -> Vec<String> {
+        let founders = &self.set.seeds[..self.set.founders()];
+        founders.iter().filter(|a| **a != self.set.address).cloned().collect()
+    }
+
+    /// Takes another founder's word.
+    fn founder(&mut self, address: String, from: Name, life: u64, founded: bool, roll: Roll) {
+        let others = self.others();
+        if !others.contains(&address) || roll.len() > others.len() + 1 {
+            return;
+        }
+        self.founding.insert(address.clone(), (from, life, founded, roll));
+        let Some(council) = self.council.as_mut().filter(|_| !founded) else { return };
+        // It waits for this one's word. If all the others are empty none has ever voted: this one counts anew.
+        let empty = others.iter().all(|a| self.founding.get(a).is_some_and(|f| !f.2));
+        if empty && council.view().number == 0 {
+            let own = council.roll().get_key_value(&self.set.address).map(|(a, n)| (a.clone(), n.clone()));
+            let said = self.founding.iter().map(|(a, f)| (a.clone(), (f.0.clone(), f.1)));
+            let counted: Roll = said.chain(own).collect();
+            if counted != *council.roll() {
+                council.set_roll(counted);
+            }
+        }
+        let roll = council.roll().clone();
+        self.send(&address, Body::Founder(true, roll));
+    }
+
+    /// Founds the cluster, once every other founder has said that it is empty too, or has counted on this life.
+    fn found(&mut self) -> Result<(), CouncilError> {
+        let founders = &self.set.seeds[..self.set.founders()];
+        let Some(own) = founders.iter().position(|a| *a == self.set.address) else { return Ok(()) };
+        if self.council.is_some() || self.view.number > 0 {
+            return Ok(());
+        }
+        let (others, me) = (self.others(), (self.set.name.clone(), self.life));
+        let word = |a: &String| self.founding.get(a);
+        let counted = |a: &String| word(a).is_some_and(|f| !f.2 || f.3.get(&self.set.address) == Some(&me));
+        if !others.iter().all(counted) {
+            others.iter().for_each(|to| self.send(to, Body::Founder(false, Roll::new())));
+            return Ok(());
+        }
+        let theirs = self.founding.values().find(|f| f.2).map(|f| f.3.clone());
+        let roll = theirs.unwrap_or_else(|| {
+            let said = self.founding.iter().map(|(a, f)| (a.clone(), (f.0.clone(), f.1)));
+            said.chain([(self.set.address.clone(), me)]).collect()
+        });
+        self.council = Some(Council::found(own as u64 + 1, roll)?);
+        self.out.push(Output::Log(format!("founds the cluster as voter {}", own + 1)));
+        Ok(())
+    }
+
+    /// Lets time pass and gives what is to be done. To be called at least twice in each [`Settings::probe`].
+    pub fn turn(&mut self, now: Time) -> Result<Vec<Output>, CouncilError> {
+        let (probes, changed) = self.edges.turn(now);
+        for to in probes {
+            self.send(&to, Body::Probe(now));
+        }
+        if self.phase == Phase::Joining && now >= self.join {
+            // Many that start at once do not ask at once for long.
+            self.join = now + self.set.probe / 2 + (mix(&now.to_le_bytes(), self.life) % 250_000) as Time;
+            let (seen, seat) = (self.view.number, self.council.as_ref().map(Council::id));
+            let mut to: BTreeSet<String> = self.voters().into_iter().collect();
+            to.extend(self.set.seeds.iter().cloned());
+            to.into_iter().for_each(|to| self.send(&to, Body::Join(seen, seat)));
+            if self.leads() {
+                self.joins(self.set.name.clone(), self.set.address.clone(), self.life, seen, seat);
+            }
+            self.found()?;
+        }
+        let told = self.edges.down().next().is_some() && now >= self.repeat;
+        if self.incarnation > 0 && (changed || told) {
+            self.repeat = now + REPEAT;
+            let down: BTreeSet<Name> = self.edges.down().cloned().collect();
+            let own = self.set.name.clone();
+            self.cut.told(now, &own, down.clone());
+            self.voters().into_iter().for_each(|to| self.send(&to, Body::Down(down.clone())));
+        }
+        if self.phase == Phase::Leaving && now >= self.join {
+            self.join = now + self.set.probe / 2;
+            self.leaves.insert(self.set.name.clone(), self.incarnation);
+            self.voters().into_iter().for_each(|to| self.send(&to, Body::Leave));
+        }
+        // A learner's seat that was given to this very life.
+        let seat = self.view.seats.iter().find(|s| s.name == self.set.name && s.life == self.life);
+        if let Some(seat) = seat.filter(|_| self.council.is_none()) {
+            self.council = Some(Council::learn(seat.id)?);
+        }
+        self.vote(now)?;
+        Ok(std::mem::take(&mut self.out))
+    }
+
+    fn vote(&mut self, now: Time) -> Result<(), CouncilError> {
+        let Some(mut council) = self.council.take() else { return Ok(()) };
+        let missed = (now - self.tick) / TICK;
+        if missed > 0 {
+            self.tick = now;
+            // After a pause of its own it does not stand for election at once.
+            (0..missed.min(2)).for_each(|_| council.tick());
+        }
+        if council.leads() != self.led {
+            self.led = council.leads();
+            self.cut.clear();
+            self.joins.clear();
+            self.unseated.clear();
+        }
+        if council.leads() && council.view().number == self.view.number {
+            self.lead(now, &mut council)?;
+        }
+        let turn = council.turn()?;
+        if let Some(kept) = turn.keep {
+            self.out.push(Output::Keep(kept));
+        }
+        self.council = Some(council);
+        for message in turn.messages {
+            if let (Some(to), Ok(bytes)) = (self.seat(message.to), message.write_to_bytes()) {
+                self.send(&to, Body::Raft(bytes));
+            }
+        }
+        for view in turn.views {
+            // Who was let in is told at once; the others hear it by probes.
+            let new = view.members.iter().filter(|m| m.incarnation == view.number);
+            let new: Vec<String> = new.map(|m| m.address.clone()).collect();
+            let gone: Vec<String> = self
+                .leaves
+                .keys()
+                .filter(|n| view.member(n).is_none())
+                .filter_map(|n| self.view.member(n).map(|m| m.address.clone()))
+                .collect();
+            self.adopt(now, view);
+            if self.led {
+                new.iter().chain(&gone).for_each(|to| self.tell(to));
+            }
+        }
+        Ok(())
+    }
+
+    /// Puts the next view forward if there is reason to, and sees to the seats.
+    fn lead(&mut self, now: Time, council: &mut Council) -> Result<(), CouncilError> {
+        let mut out =
+            self.cut.judge(now, self.set.settle, &self.set.name, &self.view, &self.rings).unwrap_or_default();
+        out.extend(self.leaves.keys().cloned());
+        let seats = self.seats(now, council);
+        if !council.may_propose() || (out.is_empty() && self.joins.is_empty() && seats.is_none()) {
+            return Ok(());
+        }
+        let joins = std::mem::take(&mut self.joins);
+        let mut next = self.view.next(&out, joins.values().map(|(m, _)| m.clone()));
+        if self.view.number == 0 {
+            next.origin = mix(&postcard::to_stdvec(council.roll())?, 0);
+        }
+        next.seats = seats.unwrap_or(next.seats);
+        // A voter that is back with what it kept holds its seat again.
+        for (member, id) in joins.values() {
+            if let Some(seat) = next.seats.iter_mut().find(|s| Some(s.id) == *id && s.name == member.name) {
+                seat.life = member.life;
+                seat.address.clone_from(&member.address);
+            }
+        }
+        council.propose(next)
+    }
+
+    /// Moves the seats by one step: founders first, then a learner for each voter that is out for good, and
+    /// the dead seat goes once there are enough without it. Gives the seats of the next view, if they change.
+    fn seats(&mut self, now: Time, council: &mut Council) -> Option<Vec<Seat>> {
+        let seats = &self.view.seats;
+        if seats.is_empty() {
+            let founders = &self.set.seeds[..self.set.founders()];
+            let seat = |(i, a): (usize, &String)| {
+                let (name, life) = council.roll().get(a).cloned().unwrap_or_default();
+                Seat { id: i as u64 + 1, name, address: a.clone(), life }
+            };
+            return Some(founders.iter().enumerate().map(seat).collect());
+        }
+        let (voters, learners) = council.seats();
+        let held = |s: &Seat| self.view.member(&s.name).is_some_and(|m| m.life == s.life);
+        self.unseated.retain(|id, _| seats.iter().any(|s| s.id == *id && !held(s)));
+        for seat in seats.iter().filter(|s| !held(s)) {
+            self.unseated.entry(seat.id).or_insert(now);
+        }
+        let dead = |s: &Seat| self.unseated.get(&s.id).is_some_and(|at| now - at > self.set.replace);
+        let known = |id: &u64| voters.contains(id) || learners.contains(id);
+        if let Some(ready) = learners.iter().find(|id| council.caught_up(**id)) {
+            council.reseat(ConfChangeType::AddNode, *ready);
+        } else if let Some(gone) =
+            voters.iter().chain(&learners).find(|id| seats.iter().all(|s| s.id != **id))
+        {
+            council.reseat(ConfChangeType::RemoveNode, *gone);
+        } else if let Some(new) = seats.iter().find(|s| !known(&s.id)) {
+            council.reseat(ConfChangeType::AddLearnerNode, new.id);
+        }
+        let wanted = self.set.founders();
+        let lost = seats.iter().find(|s| dead(s))?;
+        let alive = seats.iter().filter(|s| voters.contains(&s.id) && !dead(s)).count();
+        if alive >= wanted {
+            return Some(seats.iter().filter(|s| s.id != lost.id).cloned().collect());
+        }
+        let learning = seats.iter().any(|s| !voters.contains(&s.id) && !dead(s));
+        if learning || seats.len() >= wanted * SEATS_EACH {
+            return None;
+        }
+        let free = |m: &&Member| seats.iter().all(|s| (&s.name, s.life) != (&m.name, m.life));
+        let m = self.view.members.iter().filter(free).min_by_key(|m| m.incarnation)?;
+        // Above the founders' numbers, and of one view: given once.
+        let id = 1_000 + self.view.number + 1;
+        let seat = Seat { id, name: m.name.clone(), address: m.address.clone(), life: m.life };
+        Some(seats.iter().cloned().chain([seat]).collect())
+    }
+}
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -5,6 +5,7 @@
 pub mod deadlines;
 pub mod handover;
 pub mod integrity;
+pub mod membership;
 pub mod parts;
 pub mod phase;
 pub mod pipe;
--- /dev/null
+++ b/tests/membership.rs
@@ -0,0 +1,327 @@
+//! Membership under a simulated clock and network, with the program's own modules. A seed that fails is named, and
+//! plays again exactly: `CLAYWINCH_SEED=N cargo test --test membership -- schedules`.
+
+use claywinch::state::membership::node::Phase;
+use claywinch::state::membership::View;
+use claywinch_lab::simulated::{name, History, Link, World, SECOND};
+use rand::RngExt;
+use std::collections::BTreeSet;
+
+/// A cluster that has come together.
+fn together(seed: u64, hosts: usize, voters: usize) -> World {
+    let mut world = World::new(seed, hosts, voters);
+    (0..hosts).for_each(|h| world.start(h));
+    world.run(10 * SECOND);
+    assert!(world.agree(), "{:?}", world.phases());
+    world.history.removed.clear();
+    world
+}
+
+fn sound(world: &World) {
+    assert!(world.history.broken.is_empty(), "{:?}", world.history.broken);
+}
+
+fn out(world: &World) -> BTreeSet<&str> {
+    world.history.removed.iter().map(|(_, n, _)| n.as_str()).collect()
+}
+
+/// Guards against a dead broker that stays a member, and against a living one that goes with it.
+#[test]
+fn one_that_is_killed_is_out_in_time_and_comes_back_as_another_incarnation() {
+    for hosts in [3, 5, 25] {
+        let mut w = together(1, hosts, 3);
+        let was = w.history.last().unwrap().member(&name(2)).unwrap().incarnation;
+        w.kill(2);
+        w.run(7 * SECOND);
+        assert!(w.agree(), "{:?}", w.phases());
+        assert_eq!(out(&w), BTreeSet::from([name(2).as_str()]));
+        w.start(2);
+        w.run(3 * SECOND);
+        assert!(w.agree(), "{:?}", w.phases());
+        assert!(w.history.last().unwrap().member(&name(2)).unwrap().incarnation > was);
+        sound(&w);
+    }
+}
+
+/// Guards against a healthy broker thrown out for a pause, a slow answer, or a lossy link.
+#[test]
+fn pauses_under_the_stated_time_and_loss_throw_nobody_out() {
+    for seed in 0..4 {
+        let mut w = together(seed, 9, 3);
+        for pause in [SECOND / 2, 2 * SECOND] {
+            for host in [0, 1, 2, 5] {
+                w.pause(host, pause);
+                w.run(5 * SECOND);
+            }
+            (0..5).for_each(|h| w.pause(h, pause));
+            w.run(8 * SECOND);
+        }
+        // A third of the links lose a fifth of what they carry; one broker answers a second late.
+        for link in (0..9).flat_map(|a| (0..9).map(move |b| (a, b))).filter(|(a, b)| (a + b) % 3 == 0) {
+            w.links.insert(link, Link { loss: 0.2, ..Link::default() });
+        }
+        w.hosts[4].slow = SECOND;
+        w.run(120 * SECOND);
+        assert_eq!(out(&w), BTreeSet::new(), "seed {seed}");
+        assert!(w.agree());
+        sound(&w);
+    }
+}
+
+/// Guards against two brokers that cannot hear each other and of which one goes, though all others hear both.
+#[test]
+fn a_cut_between_two_throws_nobody_out_in_one_direction_or_both() {
+    for (a, b) in [(0, 1), (0, 4), (3, 4)] {
+        for both in [false, true] {
+            let mut w = together(3, 5, 3);
+            w.cut(&[a], &[b]);
+            if both {
+                w.cut(&[b], &[a]);
+            }
+            w.run(30 * SECOND);
+            assert_eq!(out(&w), BTreeSet::new(), "{a} {b} {both}");
+            sound(&w);
+        }
+    }
+}
+
+/// Guards against a broker that stays a member though it hears nobody, or though nobody hears it.
+#[test]
+fn one_that_is_cut_off_in_either_direction_is_out_and_knows_it_when_it_is_heard_again() {
+    for victim in [0, 4] {
+        for deaf in [false, true] {
+            let mut w = together(5, 5, 3);
+            let others: Vec<usize> = (0..5).filter(|h| *h != victim).collect();
+            if deaf {
+                w.cut(&others, &[victim]);
+            } else {
+                w.cut(&[victim], &others);
+            }
+            w.run(12 * SECOND);
+            assert!(out(&w).contains(name(victim).as_str()), "{victim} {deaf}");
+            assert!(out(&w).len() == 1, "{:?}", out(&w));
+            w.links.clear();
+            w.run(8 * SECOND);
+            assert!(w.agree(), "{victim} {deaf} {:?}", w.phases());
+            sound(&w);
+        }
+    }
+}
+
+/// Guards against two halves that both go on. The side with most voters does; the other stands still.
+#[test]
+fn a_split_leaves_one_side_that_moves() {
+    let mut w = together(7, 9, 3);
+    let (few, many): (Vec<usize>, Vec<usize>) = (vec![0, 1, 3], vec![2, 4, 5, 6, 7, 8]);
+    let before = w.history.last().unwrap().number;
+    w.cut(&few, &many);
+    w.cut(&many, &few);
+    w.run(20 * SECOND);
+    let left: Vec<&str> = w.history.last().unwrap().members.iter().map(|m| m.name.as_str()).collect();
+    assert_eq!(left, ["b000", "b001", "b003"]);
+    assert!(many.iter().all(|h| w.hosts[*h].node.as_ref().unwrap().view().number == before));
+    w.links.clear();
+    w.run(15 * SECOND);
+    assert!(w.agree(), "{:?}", w.phases());
+    sound(&w);
+}
+
+/// Guards against voters that are gone for good and never replaced, and against one back without its disk that
+/// votes under its old number.
+#[test]
+fn a_voter_that_is_gone_for_good_is_replaced_and_one_without_its_disk_is_a_new_one() {
+    let mut w = together(9, 6, 3);
+    w.kill(1);
+    w.run(60 * SECOND);
+    let seats: Vec<u64> = w.history.last().unwrap().seats.iter().map(|s| s.id).collect();
+    assert!(seats.len() == 3 && !seats.contains(&2), "{seats:?}");
+    // The new voter counts: one more of the first may go.
+    w.kill(0);
+    w.run(20 * SECOND);
+    assert!(w.agree(), "{:?}", w.phases());
+    w.hosts[1].kept = None;
+    w.start(1);
+    w.run(5 * SECOND);
+    assert!(w.agree(), "{:?}", w.phases());
+    w.run(60 * SECOND);
+    assert_eq!(w.history.last().unwrap().seats.len(), 3);
+    sound(&w);
+}
+
+/// Guards against brokers that fall apart in a storm, a rolling restart, or a night with all of them down.
+#[test]
+fn joins_at_once_rolling_restarts_and_all_down_end_in_one_view() {
+    let mut w = together(11, 5, 3);
+    let more = 40;
+    for host in 5..5 + more {
+        w.hosts.push(Default::default());
+        w.start(host);
+    }
+    w.run(5 * SECOND);
+    assert!(w.agree(), "{:?}", w.phases());
+    for host in 0..8 {
+        w.kill(host);
+        w.run(SECOND);
+        w.start(host);
+        w.run(4 * SECOND);
+        assert!(w.agree(), "after {host}: {:?}", w.phases());
+    }
+    assert_eq!(out(&w), BTreeSet::new());
+    (0..45).for_each(|h| w.kill(h));
+    w.run(60 * SECOND);
+    (0..45).for_each(|h| w.start(h));
+    w.run(15 * SECOND);
+    assert!(w.agree(), "{:?}", w.phases());
+    sound(&w);
+}
+
+/// Guards against a departure that waits for a detection, and against two processes of one name that chase
+/// each other.
+#[test]
+fn one_that_leaves_is_out_at_once_and_a_second_life_takes_the_place_of_the_first() {
+    let mut w = together(13, 5, 3);
+    w.hosts[4].node.as_mut().unwrap().leave();
+    w.run(SECOND);
+    assert_eq!(w.hosts[4].node.as_ref().unwrap().phase(), Phase::Left);
+    assert!(w.history.last().unwrap().member(&name(4)).is_none());
+    // The second process of a name comes by another host: its address is another.
+    let first = w.hosts[3].node.take().unwrap();
+    w.start(3);
+    w.run(2 * SECOND);
+    let second = w.put(3, first).unwrap();
+    assert_eq!(second.phase(), Phase::Member);
+    w.run(5 * SECOND);
+    assert_eq!(w.hosts[3].node.as_ref().unwrap().phase(), Phase::Replaced);
+    sound(&w);
+}
+
+/// A schedule of faults drawn from the seed; afterwards all is mended, and all must agree again.
+fn schedule(seed: u64) -> World {
+    let mut w = World::new(seed, 7, 3);
+    (0..7).for_each(|h| w.start(h));
+    let mut lost = None;
+    for _ in 0..14 {
+        let (host, other) = (w.chance.random_range(0..7usize), w.chance.random_range(0..7usize));
+        match w.chance.random_range(0..9u32) {
+            0 => w.kill(host),
+            1 => w.hosts[host].dies_after = Some(w.chance.random_range(0..12)),
+            2 => {
+                let time = w.chance.random_range(SECOND / 5..8 * SECOND);
+                w.pause(host, time);
+            }
+            3 => w.cut(&[host], &[other]),
+            4 => w.cut(&[host], &(0..7).collect::<Vec<_>>()),
+            5 => w.cut(&(0..7).collect::<Vec<_>>(), &[host]),
+            6 => {
+                let most = w.chance.random_range(1..SECOND);
+                w.link = Link { loss: 0.2, delay: (100, most), twice: 0.2 };
+            }
+            7 => {
+                w.links.clear();
+                w.link = Link::default();
+            }
+            // One disk is lost, no more: of three voters two must remember.
+            _ if lost.is_none_or(|l| l == host) && w.hosts[host].node.is_none() => {
+                lost = Some(host);
+                w.hosts[host].kept = None;
+            }
+            _ => {}
+        }
+        let time = w.chance.random_range(SECOND / 10..3 * SECOND);
+        w.run(time);
+        for h in 0..7 {
+            if w.hosts[h].node.is_none() && w.chance.random::<bool>() {
+                w.start(h);
+            }
+        }
+    }
+    w.links.clear();
+    w.link = Link::default();
+    for h in 0..7 {
+        w.hosts[h].dies_after = None;
+        if w.hosts[h].node.is_none() {
+            w.start(h);
+        }
+    }
+    w.run(45 * SECOND);
+    w
+}
+
+/// How many seeds are played; one, if it is named.
+fn seeds(most: u64) -> std::ops::Range<u64> {
+    match std::env::var("CLAYWINCH_SEED").ok().and_then(|s| s.parse().ok()) {
+        Some(one) => one..one + 1,
+        None => 0..most,
+    }
+}
+
+/// Guards against orders of faults that nobody thought of.
+#[test]
+fn schedules_of_faults_never_split_a_view_and_end_in_agreement() {
+    let all: Vec<u64> = seeds(2_000).collect();
+    std::thread::scope(|scope| {
+        for part in all.chunks(all.len().div_ceil(4)) {
+            scope.spawn(move || {
+                for seed in part {
+                    let w = schedule(*seed);
+                    assert!(w.history.broken.is_empty(), "seed {seed}: {:?}", w.history.broken);
+                    assert!(w.agree(), "seed {seed}: {:?}", w.phases());
+                }
+            });
+        }
+    });
+}
+
+/// The checker proves itself: a voter that forgets what it promised does split a view.
+#[test]
+fn a_voter_that_forgets_is_caught() {
+    let mut w = World::new(1, 5, 3);
+    (0..3).for_each(|h| w.start(h));
+    w.run(10 * SECOND);
+    assert!(w.agree());
+    let old = w.hosts[1].kept.clone();
+    w.kill(2);
+    w.start(3);
+    w.run(SECOND);
+    assert!(w.history.last().unwrap().member(&name(3)).is_some());
+    [0, 1, 3].into_iter().for_each(|h| w.kill(h));
+    // The planted fault: what was promised since.
+    w.hosts[1].kept = old;
+    [1, 2, 4].into_iter().for_each(|h| w.start(h));
+    w.run(5 * SECOND);
+    assert!(w.history.broken.iter().any(|b| b.1.contains("splits")), "{:?}", w.history.broken);
+    let view = |number, origin| View { number, origin, ..View::default() };
+    let mut history = History::default();
+    history.adopted(0, "a", 0, &view(1, 1));
+    history.adopted(0, "b", 0, &view(1, 2));
+    history.adopted(0, "b", 1, &view(1, 1));
+    assert_eq!(history.broken.len(), 2);
+}
+
+/// Guards against a run that cannot be played again.
+#[test]
+fn a_seed_plays_again_exactly() {
+    let (one, two) = (schedule(42), schedule(42));
+    assert_eq!(format!("{:?}", one.history), format!("{:?}", two.history));
+}
+
+/// Guards against a cost that grows with the cluster, and against a large one that falls apart.
+#[test]
+fn three_hundred_brokers_agree_and_each_sends_no_more_than_one_of_twenty_five() {
+    let sent = |hosts: usize| {
+        let mut w = World::new(17, hosts, 5);
+        (0..hosts).for_each(|h| w.start(h));
+        w.run(12 * SECOND);
+        assert!(w.agree(), "{hosts}: {:?}", w.phases().iter().filter(|p| p.1 != Phase::Member).count());
+        w.hosts.iter_mut().for_each(|h| h.sent = (0, 0));
+        w.run(10 * SECOND);
+        let quiet = w.hosts.last().unwrap().sent.0;
+        (50..hosts).step_by(10).for_each(|h| w.kill(h));
+        w.run(8 * SECOND);
+        assert!(w.agree(), "{hosts}");
+        sound(&w);
+        quiet
+    };
+    let (small, large) = (sent(25), sent(300));
+    assert!(large <= small * 5 / 4, "{small} {large}");
+}
