--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 MODULE_LINES ?= 950
 MODULE_WIDTH ?= 110
 
-.PHONY: build test lint run module-length lab demo
+.PHONY: build test lint run module-length lab demo cluster
 
 build:
 	cargo build --release --locked
@@ -32,3 +32,7 @@
 # A broker before a node that spoils data, a minute of load on it, and what came of it.
 demo: lab
 	target/release/claywinch-lab demo
+
+# Five brokers of a cluster, one of which is cut off: what each of them thinks.
+cluster: build lab
+	target/release/claywinch-lab cluster-demo
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,8 +5,11 @@
 use claywinch_lab::disk::{Disk, Manner};
 use claywinch_lab::experiment::{Arm, Experiment, ExperimentError};
 use claywinch_lab::load::{Class, Kind};
-use std::path::PathBuf;
+use claywinch_lab::rig::{Came, Rig, Schedule, Times};
+use claywinch_lab::simulated::{name, Link};
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 #[derive(Parser)]
 #[command(version, about = "Stand-ins, load and experiments for claywinch")]
@@ -38,6 +41,13 @@
         #[arg(long, default_value_t = 60.0)]
         seconds: f64,
     },
+    /// Five brokers of a cluster, one of which is cut off: what each of them thinks.
+    ClusterDemo,
+    /// Plays schedules of faults among the brokers of a cluster, and prints a timeline of what broke.
+    Cluster {
+        /// The file that says what is played.
+        file: PathBuf,
+    },
     /// Plays an experiment and keeps its tables and charts.
     Experiment {
         /// The file that says what is played.
@@ -84,6 +94,57 @@
     }
 }
 
+/// Each broker's view, as it tells it.
+fn show(rig: &Rig) {
+    for broker in 0..rig.len() {
+        match rig.said(broker) {
+            None => println!("  {}: does not answer", name(broker)),
+            Some(said) => {
+                let members: Vec<String> = said
+                    .members
+                    .iter()
+                    .map(|m| {
+                        format!(
+                            "{}/{}{}",
+                            m.name,
+                            m.incarnation,
+                            if m.state == "alive" { "" } else { m.state.as_str() }
+                        )
+                    })
+                    .collect();
+                let leads = if said.leads { ", leads the voters" } else { "" };
+                println!(
+                    "  {}: view {}, {}{leads}: {}",
+                    name(broker),
+                    said.view,
+                    said.phase,
+                    members.join(" ")
+                );
+            }
+        }
+    }
+}
+
+fn cluster_demo(program: &Path) -> std::io::Result<()> {
+    let folder = std::env::temp_dir().join(format!("claywinch-rig-{}", std::process::id()));
+    let mut rig = Rig::new(program, &folder, 5, 3, Times::default())?;
+    (0..5).try_for_each(|b| rig.start(b))?;
+    let wait = std::time::Duration::from_secs;
+    println!("Five brokers start.");
+    rig.within(wait(10), Rig::agree);
+    show(&rig);
+    println!("Nothing that {} sends reaches the others any more; it still hears them.", name(4));
+    (0..4).for_each(|b| rig.link(4, b, Link::CUT));
+    rig.within(wait(15), |r| r.said(0).is_some_and(|s| !s.names().contains(&name(4))));
+    std::thread::sleep(wait(1));
+    show(&rig);
+    println!("The link is mended.");
+    rig.mend();
+    rig.within(wait(15), Rig::agree);
+    show(&rig);
+    Ok(())
+}
+
 fn run(arguments: Arguments) -> Result<(), ExperimentError> {
     let io = |what: String| move |error| ExperimentError::Io(what, error);
     match arguments.what {
@@ -121,6 +182,36 @@
             }
             Ok(())
         }
+        What::ClusterDemo => cluster_demo(&arguments.broker).map_err(io("the rig".to_string())),
+        What::Cluster { file } => {
+            let text = std::fs::read_to_string(&file).map_err(io(file.display().to_string()))?;
+            let schedule: Schedule = toml::from_str(&text)
+                .map_err(|e| ExperimentError::Content(file.display().to_string(), e.to_string()))?;
+            let folder = std::env::temp_dir().join(format!("claywinch-rig-{}", std::process::id()));
+            let bad = AtomicU64::new(0);
+            schedule.play_all(&arguments.broker, &folder, |seed, played| {
+                let (came, timeline) = played.unwrap_or_else(|error| {
+                    (Came { broken: vec![error.to_string()], ..Came::default() }, String::new())
+                });
+                let Came { broken, views, removed, faults } = came;
+                let (out, broke) = (removed.len(), broken.len());
+                println!("seed {seed}: {faults} faults, {views} views, {out} left out, {broke} broken");
+                if broke > 0 {
+                    bad.fetch_add(1, Ordering::Relaxed);
+                    println!("{}\n{timeline}", broken.join("\n"));
+                }
+            });
+            let _ = std::fs::remove_dir_all(&folder);
+            let bad = bad.into_inner();
+            println!("{} runs, {bad} of them with something broken", schedule.runs);
+            if bad > 0 {
+                return Err(ExperimentError::Content(
+                    file.display().to_string(),
+                    "something broke".to_string(),
+                ));
+            }
+            Ok(())
+        }
         What::Experiment { file, results } => {
             let experiment = Experiment::read(&file)?;
             let played = experiment.play(&arguments.broker)?;
--- /dev/null
+++ b/src/run/cluster.rs
@@ -0,0 +1,472 @@
+//! Drives the membership among brokers: its file, its socket, its store and its turns.
+
+use super::error::{io, StartError};
+use crate::state::membership::council::CouncilError;
+use crate::state::membership::node::{Node, Output, Phase};
+use crate::state::membership::{Name, Settings, View, MOST_NAME};
+use crate::wire::clock::Clock;
+use crate::wire::cluster::{decode, encode, MOST_DATAGRAM};
+use redb::{Database, ReadableDatabase, TableDefinition};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use std::net::SocketAddrV4;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::sync::{mpsc, oneshot, watch};
+
+/// Between two turns that no packet brings about.
+const TURN: Duration = Duration::from_millis(50);
+/// Packets read in one turn; what comes beyond waits at the socket, and is lost when that is full.
+const MOST_PACKETS: usize = 256;
+/// How long a departure may take at the end of the process.
+const GOING: Duration = Duration::from_millis(1_500);
+/// Between two tries to open a store that another process holds.
+const HELD: Duration = Duration::from_millis(200);
+/// What is kept: one value.
+const TABLE: TableDefinition<&str, &[u8]> = TableDefinition::new("membership");
+const KEY: &str = "voter";
+
+/// The file that `$CLAYWINCH_CLUSTER` names.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct File {
+    /// The cluster's name.
+    #[serde(default = "cluster")]
+    pub cluster: String,
+    /// This broker's name.
+    pub name: String,
+    /// Address that it listens on, UDP.
+    pub listen: SocketAddrV4,
+    /// Address by which others reach it.
+    pub advertise: SocketAddrV4,
+    /// Addresses that are asked for the cluster, the same at all brokers; the first three found it, or five.
+    pub seeds: Vec<SocketAddrV4>,
+    /// Where a voter keeps what it must not forget. Without it, beside this file.
+    pub store: Option<PathBuf>,
+    /// Milliseconds between two probes.
+    #[serde(default = "probe_ms")]
+    pub probe_ms: u32,
+    /// Milliseconds without an answer after which a broker is called silent.
+    #[serde(default = "silence_ms")]
+    pub silence_ms: u32,
+    /// Milliseconds that a set stands still before it is cut.
+    #[serde(default = "settle_ms")]
+    pub settle_ms: u32,
+    /// Seconds after which a voter that is out is replaced.
+    #[serde(default = "replace_s")]
+    pub replace_s: u32,
+}
+
+fn cluster() -> String {
+    "claywinch".to_string()
+}
+
+fn probe_ms() -> u32 {
+    500
+}
+
+fn silence_ms() -> u32 {
+    4_000
+}
+
+fn settle_ms() -> u32 {
+    500
+}
+
+fn replace_s() -> u32 {
+    30
+}
+
+impl File {
+    /// Reads the file; what cannot work is refused by its key.
+    pub fn read(path: &str) -> Result<File, String> {
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
+        let mut file: File = toml::from_str(&text).map_err(|e| format!("{path}: {e}"))?;
+        file.check().map_err(|e| format!("{path}: {e}"))?;
+        let beside = || Path::new(path).with_file_name(format!("claywinch-{}.redb", file.name));
+        file.store = Some(file.store.clone().unwrap_or_else(beside));
+        Ok(file)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        let name = |key: &str, n: &str| {
+            let fits = !n.is_empty() && n.len() <= MOST_NAME;
+            let plain = n.chars().all(|c| c.is_ascii_alphanumeric() || "-_.".contains(c));
+            if fits && plain {
+                Ok(())
+            } else {
+                Err(format!("{key} = {n:?}: 1 to {MOST_NAME} of a-z, 0-9, -, _ and ."))
+            }
+        };
+        name("name", &self.name)?;
+        name("cluster", &self.cluster)?;
+        if self.seeds.is_empty() {
+            return Err("seeds: name one address at least".to_string());
+        }
+        let different: BTreeSet<_> = self.seeds.iter().collect();
+        if different.len() < self.seeds.len() {
+            return Err("seeds: an address is named twice".to_string());
+        }
+        if self.advertise.ip().is_unspecified() || self.advertise.port() == 0 {
+            return Err(format!("advertise = \"{}\": others cannot reach that", self.advertise));
+        }
+        if self.probe_ms < 100 {
+            return Err(format!("probe_ms = {}: 100 at least", self.probe_ms));
+        }
+        if self.silence_ms < 4 * self.probe_ms {
+            return Err(format!("silence_ms = {}: four times probe_ms at least", self.silence_ms));
+        }
+        Ok(())
+    }
+
+    fn settings(&self) -> Settings {
+        let ms = |t: u32| i64::from(t) * 1_000;
+        Settings {
+            cluster: self.cluster.clone(),
+            name: self.name.clone(),
+            address: self.advertise.to_string(),
+            seeds: self.seeds.iter().map(ToString::to_string).collect(),
+            probe: ms(self.probe_ms),
+            silence: ms(self.silence_ms),
+            settle: ms(self.settle_ms),
+            replace: i64::from(self.replace_s) * 1_000_000,
+        }
+    }
+}
+
+/// A failure of the store.
+#[derive(Debug, thiserror::Error)]
+pub enum StoreError {
+    /// Another process has it open.
+    #[error("another process holds it")]
+    Held,
+    /// It is damaged, or cannot be read or written.
+    #[error("{0}")]
+    Store(Box<redb::Error>),
+}
+
+impl From<redb::Error> for StoreError {
+    fn from(error: redb::Error) -> Self {
+        match error {
+            redb::Error::DatabaseAlreadyOpen => StoreError::Held,
+            other => StoreError::Store(Box::new(other)),
+        }
+    }
+}
+
+/// What a voter keeps over its lives. A write has been synced when it returns; one that failed is not taken for done.
+pub struct Store(Database);
+
+impl Store {
+    /// Opens or makes the store.
+    pub fn open(path: &Path) -> Result<Store, StoreError> {
+        Ok(Store(Database::create(path).map_err(redb::Error::from)?))
+    }
+
+    /// What was kept last.
+    pub fn load(&self) -> Result<Option<Vec<u8>>, StoreError> {
+        let read = self.0.begin_read().map_err(redb::Error::from)?;
+        let table = match read.open_table(TABLE) {
+            Ok(table) => table,
+            Err(redb::TableError::TableDoesNotExist(_)) => return Ok(None),
+            Err(error) => return Err(redb::Error::from(error).into()),
+        };
+        Ok(table.get(KEY).map_err(redb::Error::from)?.map(|v| v.value().to_vec()))
+    }
+
+    /// Keeps a value in the place of the last.
+    pub fn keep(&self, value: &[u8]) -> Result<(), StoreError> {
+        let write = self.0.begin_write().map_err(redb::Error::from)?;
+        write.open_table(TABLE).map_err(redb::Error::from)?.insert(KEY, value).map_err(redb::Error::from)?;
+        Ok(write.commit().map_err(redb::Error::from)?)
+    }
+}
+
+/// Why this broker takes no further part.
+#[derive(Debug, thiserror::Error)]
+enum Over {
+    #[error(transparent)]
+    Council(#[from] CouncilError),
+    #[error("store: {0}")]
+    Store(#[from] StoreError),
+    #[error("store: it is that of {0}")]
+    Other(Name),
+}
+
+/// What can be asked of the part that runs.
+#[derive(Debug)]
+pub enum Order {
+    /// Goes from the cluster; told when it is out, or cannot be.
+    Leave(Option<oneshot::Sender<()>>),
+    /// Comes back.
+    Join,
+}
+
+/// A broker's part in its cluster, as the rest of the program sees it.
+#[derive(Debug, Clone)]
+pub struct Cluster {
+    orders: mpsc::UnboundedSender<Order>,
+    status: watch::Receiver<String>,
+}
+
+impl Cluster {
+    /// One line of JSON: the view, where this broker stands, the members.
+    pub fn members(&self) -> String {
+        self.status.borrow().clone()
+    }
+
+    /// Gives an order. One that has ended its part heeds none.
+    pub fn order(&self, order: Order) {
+        let _ = self.orders.send(order);
+    }
+
+    /// Leaves, for as long as that may take.
+    pub async fn leave(&self) {
+        let (done, gone) = oneshot::channel();
+        self.order(Order::Leave(Some(done)));
+        let _ = tokio::time::timeout(GOING, gone).await;
+    }
+
+    /// Takes part until the process ends. Must run inside a [`tokio::task::LocalSet`].
+    pub async fn start(file: File, seed: u64, clock: Clock) -> Result<Cluster, StartError> {
+        let socket =
+            UdpSocket::bind(file.listen).await.map_err(io(format!("listening on {}", file.listen)))?;
+        let (orders, inbox) = mpsc::unbounded_channel();
+        let (status, watched) = watch::channel(String::new());
+        tracing::info!(name = file.name, listen = %file.listen, advertise = %file.advertise, "cluster on");
+        let task = Task { file, seed, clock, socket, status, inbox, garbage: 0 };
+        tokio::task::spawn_local(task.run());
+        Ok(Cluster { orders, status: watched })
+    }
+}
+
+struct Task {
+    file: File,
+    seed: u64,
+    clock: Clock,
+    socket: UdpSocket,
+    status: watch::Sender<String>,
+    inbox: mpsc::UnboundedReceiver<Order>,
+    garbage: u64,
+}
+
+#[derive(Serialize)]
+struct Shown<'a> {
+    name: &'a str,
+    address: &'a str,
+    incarnation: u64,
+    state: &'static str,
+}
+
+#[derive(Serialize)]
+struct Status<'a> {
+    view: u64,
+    #[serde(rename = "self")]
+    own: &'a str,
+    phase: Phase,
+    incarnation: u64,
+    leads: bool,
+    members: Vec<Shown<'a>>,
+}
+
+impl Task {
+    async fn run(mut self) {
+        let outcome = self.take_part().await;
+        if let Err(error) = outcome {
+            tracing::error!(%error, "takes no further part in the cluster");
+            self.status.send_replace(String::new());
+        }
+        // Who asks to leave is answered: it is out of it.
+        while let Some(order) = self.inbox.recv().await {
+            drop(order);
+        }
+    }
+
+    /// The store. While a former process of this broker holds it, that one is the member.
+    async fn open(&self) -> Result<Store, StoreError> {
+        let path = self.file.store.clone().unwrap_or_default();
+        let mut said = false;
+        loop {
+            match Store::open(&path) {
+                Err(StoreError::Held) => {
+                    if !std::mem::replace(&mut said, true) {
+                        tracing::info!(path = %path.display(), "another process of this broker is the member");
+                    }
+                    tokio::time::sleep(HELD).await;
+                }
+                other => return other,
+            }
+        }
+    }
+
+    async fn take_part(&mut self) -> Result<(), Over> {
+        let store = self.open().await?;
+        let kept = store.load()?;
+        let mut node = Node::new(self.clock.now(), self.file.settings(), self.seed, kept.as_deref())?;
+        if let Some(other) = node.stranger() {
+            return Err(Over::Other(other));
+        }
+        let mut buffer = vec![0; MOST_DATAGRAM];
+        let mut leaving: Vec<oneshot::Sender<()>> = Vec::new();
+        let mut turns = tokio::time::interval(TURN);
+        turns.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = turns.tick() => {}
+                ready = self.socket.readable() => {
+                    if ready.is_err() {
+                        tokio::time::sleep(TURN).await;
+                    }
+                }
+                Some(order) = self.inbox.recv() => match order {
+                    Order::Leave(told) => {
+                        node.leave();
+                        leaving.extend(told);
+                    }
+                    Order::Join => node.join(),
+                }
+            }
+            for _ in 0..MOST_PACKETS {
+                let Ok((n, from)) = self.socket.try_recv_from(&mut buffer) else { break };
+                match decode(&buffer[..n]) {
+                    Ok(packet) => node.receive(self.clock.now(), packet),
+                    Err(error) => {
+                        self.garbage += 1;
+                        // Said at each power of two: garbage must not fill the log.
+                        if self.garbage.is_power_of_two() {
+                            tracing::warn!(%from, %error, count = self.garbage, "garbage dropped");
+                        }
+                    }
+                }
+            }
+            for output in node.turn(self.clock.now())? {
+                match output {
+                    Output::Keep(value) => store.keep(&value)?,
+                    Output::Send(to, packet) => self.send(&to, &encode(&packet).unwrap_or_default()),
+                    Output::View(view) => told(&view, &node),
+                    Output::Log(text) => tracing::info!("{text}"),
+                }
+            }
+            self.show(&node);
+            if node.phase() != Phase::Leaving {
+                for told in leaving.drain(..) {
+                    // Who has stopped waiting need not be told.
+                    let _ = told.send(());
+                }
+            }
+        }
+    }
+
+    /// Sends a datagram; what cannot go is lost, as it might be on the way.
+    fn send(&self, to: &str, datagram: &[u8]) {
+        if let (Ok(to), false) = (to.parse::<SocketAddrV4>(), datagram.is_empty()) {
+            let _ = self.socket.try_send_to(datagram, to.into());
+        }
+    }
+
+    fn show(&self, node: &Node) {
+        let suspects = node.suspects();
+        let member = |m: &'_ crate::state::membership::Member| suspects.contains(&m.name);
+        let members = node.view().members.iter().map(|m| Shown {
+            name: &m.name,
+            address: &m.address,
+            incarnation: m.incarnation,
+            state: if member(m) { "suspect" } else { "alive" },
+        });
+        let left = node.departed().iter().map(|m| Shown {
+            name: &m.name,
+            address: &m.address,
+            incarnation: m.incarnation,
+            state: "left",
+        });
+        let status = Status {
+            view: node.view().number,
+            own: &self.file.name,
+            phase: node.phase(),
+            incarnation: node.incarnation(),
+            leads: node.leads(),
+            members: members.chain(left).collect(),
+        };
+        let text = serde_json::to_string(&status).unwrap_or_default();
+        self.status.send_if_modified(|old| {
+            let changed = *old != text;
+            *old = text;
+            changed
+        });
+    }
+}
+
+fn told(view: &View, node: &Node) {
+    let members: Vec<String> = view.members.iter().map(|m| format!("{}/{}", m.name, m.incarnation)).collect();
+    let voters: Vec<String> = view.seats.iter().map(|s| format!("{}={}", s.id, s.name)).collect();
+    tracing::info!(
+        view = view.number,
+        origin = view.origin,
+        phase = ?node.phase(),
+        members = members.join(","),
+        voters = voters.join(","),
+        "view"
+    );
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str =
+        "name = \"a\"\nlisten = \"127.0.0.1:1\"\nadvertise = \"127.0.0.1:1\"\nseeds = [\"127.0.0.1:1\"]\n";
+
+    fn read(test: &str, text: &str) -> Result<File, String> {
+        let path = std::env::temp_dir().join(format!("claywinch-{test}-{}.toml", std::process::id()));
+        std::fs::write(&path, text).map_err(|e| e.to_string())?;
+        let read = File::read(&path.to_string_lossy());
+        std::fs::remove_file(path).map_err(|e| e.to_string())?;
+        read
+    }
+
+    /// Guards against a start with a file that cannot work, and against an example that is refused.
+    #[test]
+    fn a_file_that_cannot_work_is_refused_by_its_key() {
+        let good = read("good", GOOD).expect("a file");
+        assert!(good.store.is_some_and(|s| s.ends_with("claywinch-a.redb")));
+        for (text, key) in [
+            (format!("{GOOD}surprise = 1\n"), "surprise"),
+            (GOOD.replace("name = \"a\"\n", ""), "name"),
+            (GOOD.replace("advertise = \"127.0.0.1:1\"\n", ""), "advertise"),
+            (GOOD.replace("advertise = \"127.0.0.1:1\"", "advertise = \"0.0.0.0:1\""), "advertise"),
+            (GOOD.replace("[\"127.0.0.1:1\"]", "[]"), "seeds"),
+            (GOOD.replace("[\"127.0.0.1:1\"]", "[\"127.0.0.1:1\", \"127.0.0.1:1\"]"), "seeds"),
+            (GOOD.replace("name = \"a\"", "name = \"a b\""), "name"),
+            (format!("{GOOD}silence_ms = 1000\n"), "silence_ms"),
+            (format!("{GOOD}probe_ms = 5\n"), "probe_ms"),
+        ] {
+            let refused = read("bad", &text).expect_err(&text);
+            assert!(refused.contains(key), "{refused}");
+        }
+        let example = concat!(env!("CARGO_MANIFEST_DIR"), "/deploy/cluster.toml");
+        assert!(File::read(example).is_ok());
+    }
+
+    /// Guards against a store that another process may open, that forgets, or whose spoiled file is read as good.
+    #[test]
+    fn a_store_keeps_the_last_value_is_held_by_one_and_is_refused_when_spoiled() {
+        let path = std::env::temp_dir().join(format!("claywinch-store-{}.redb", std::process::id()));
+        let _ = std::fs::remove_file(&path);
+        let store = Store::open(&path).expect("opens");
+        assert_eq!(store.load().expect("reads"), None);
+        for value in [&b"one"[..], b"two"] {
+            store.keep(value).expect("keeps");
+        }
+        assert!(matches!(Store::open(&path), Err(StoreError::Held)));
+        drop(store);
+        let store = Store::open(&path).expect("opens again");
+        assert_eq!(store.load().expect("reads").as_deref(), Some(&b"two"[..]));
+        drop(store);
+        let mut bytes = std::fs::read(&path).expect("a file");
+        bytes[..64].fill(0x5a);
+        std::fs::write(&path, bytes).expect("written");
+        assert!(matches!(Store::open(&path), Err(StoreError::Store(_))));
+        std::fs::remove_file(path).expect("removed");
+    }
+}
--- a/src/run/config.rs
+++ b/src/run/config.rs
@@ -1,5 +1,6 @@
 //! What a broker is told at its start: the environment and the file it names.
 
+use super::cluster;
 use super::settings::{self, Start};
 use crate::wire::discovery::Listing;
 use serde::Deserialize;
@@ -18,6 +19,9 @@
     /// A variable should be a number.
     #[error("{0} is {1}, not the number of a descriptor")]
     Number(&'static str, String),
+    /// The cluster's file.
+    #[error("{0}")]
+    Cluster(String),
     /// A file could not be read.
     #[error("{path}: {error}")]
     File {
@@ -93,6 +97,8 @@
     pub text: Value,
     /// The file that says what the NBD front serves.
     pub nbd_file: String,
+    /// The cluster that this broker belongs to, if any.
+    pub cluster: Option<cluster::File>,
 }
 
 /// Reads a whole file as text.
@@ -150,6 +156,10 @@
             start,
             text: file.settings,
             nbd_file: var("CLAYWINCH_NBD").unwrap_or_else(|| NBD_FILE.to_string()),
+            cluster: match var("CLAYWINCH_CLUSTER").filter(|path| !path.is_empty()) {
+                Some(path) => Some(cluster::File::read(&path).map_err(ConfigError::Cluster)?),
+                None => None,
+            },
         })
     }
 }
--- a/src/run/mod.rs
+++ b/src/run/mod.rs
@@ -1,6 +1,7 @@
 //! Start and stop: what the environment says, limits, signals, exit.
 
 pub mod catalogue;
+pub mod cluster;
 pub mod commands;
 pub mod config;
 pub mod error;
--- a/src/run/start.rs
+++ b/src/run/start.rs
@@ -1,6 +1,7 @@
 //! Puts the broker together, serves until it is told to stop, and sees everything answered before it ends.
 
 use super::catalogue::Deploy;
+use super::cluster::{Cluster, Order};
 use super::config::{reread, Config, ConfigError, Reread};
 use super::error::{io, StartError};
 use super::fleet::Fleet;
@@ -11,6 +12,7 @@
 use super::tuning::Tuning;
 use crate::interface::{ListKind, Time};
 use crate::state::handover::Process;
+use crate::state::membership::mix;
 use crate::state::phase::{last_read, Move, Phase};
 use crate::state::planner::{Input, Planner};
 use crate::state::pool::{LinkTerms, PoolLimits};
@@ -119,6 +121,18 @@
     }
 }
 
+/// Leaves the cluster with LEAVE, and comes back with JOIN.
+async fn follow_phase(cluster: Cluster, mut phases: watch::Receiver<Phase>) {
+    let leaves = |phase: &Phase| matches!(phase, Phase::Leaving(..));
+    let mut left = false;
+    while phases.changed().await.is_ok() {
+        let leaving = leaves(&phases.borrow_and_update());
+        if std::mem::replace(&mut left, leaving) != leaving {
+            cluster.order(if leaving { Order::Leave(None) } else { Order::Join });
+        }
+    }
+}
+
 /// Runs a broker until it has stopped; `passed` is the clients' listening socket where the platform holds it. Must
 /// run inside a [`tokio::task::LocalSet`].
 pub async fn run(config: Config, passed: Option<std::net::TcpListener>) -> Result<(), StartError> {
@@ -286,9 +300,17 @@
             Some(nbd::start(deploy, config.nbd_file, place, bounds)?)
         }
     };
+    let cluster = match config.cluster {
+        None => None,
+        Some(file) => Some(Cluster::start(file, mix(&clock.now().to_le_bytes(), id), clock).await?),
+    };
+    if let Some(cluster) = cluster.clone() {
+        tokio::task::spawn_local(follow_phase(cluster, phases.clone()));
+    }
     if let Some(address) = &config.admin {
+        let members = cluster.clone().map(|c| Box::new(move || c.members()) as Box<dyn Fn() -> String>);
         let keeper = file.is_some().then_some(keeper);
-        let desk = Rc::new(Desk { phase: phase.clone(), upkeep, planner: own, keeper, clock });
+        let desk = Rc::new(Desk { phase: phase.clone(), upkeep, planner: own, keeper, members, clock });
         let callers = Seats::default();
         tokio::task::spawn_local(sweep(callers.clone(), clock));
         tokio::task::spawn_local(admin::serve::accept(listen(address)?, desk, callers));
@@ -302,6 +324,10 @@
         _ = interrupt.recv() => {}
     }
     tracing::info!(clients = seats.len(), "stopping");
+    if let Some(cluster) = cluster {
+        // Beside the last answers, not before them.
+        tokio::task::spawn_local(async move { cluster.leave().await });
+    }
     let grace = longest.clamp(LEAST_GRACE, MOST_GRACE) + AFTER_GRACE;
     let _ = step(&phase, Move::Stop(grace), clock);
     let handing = matches!(*phase.borrow(), Phase::HandingOver(..));
--- a/src/wire/admin/desk.rs
+++ b/src/wire/admin/desk.rs
@@ -28,6 +28,8 @@
     pub planner: UnboundedSender<Input<W>>,
     /// Who writes down what is to outlive this process, if there is a place for it.
     pub keeper: Option<UnboundedSender<Keep>>,
+    /// Says who belongs to the cluster; nothing where there is none.
+    pub members: Option<Box<dyn Fn() -> String>>,
     /// The time.
     pub clock: Clock,
 }
@@ -51,6 +53,7 @@
             Ok(Call::Health) => self.health(),
             Ok(Call::Node { name, out }) => self.node(name, *out).await,
             Ok(Call::Leave) => step(&self.phase, Move::Leave, self.clock).map(|()| "leaving".to_string()),
+            Ok(Call::Members) => self.members(),
             Ok(Call::Join) => step(&self.phase, Move::Join, self.clock).map(|()| "serving".to_string()),
         };
         match outcome {
@@ -62,6 +65,11 @@
         }
     }
 
+    fn members(&self) -> Result<String, String> {
+        let said = self.members.as_ref().map(|members| members()).ok_or("no cluster")?;
+        Some(said).filter(|s| !s.is_empty()).ok_or_else(|| "takes no part in the cluster".to_string())
+    }
+
     fn health(&self) -> Result<String, String> {
         let phase = *self.phase.borrow();
         match phase {
--- a/src/wire/admin/mod.rs
+++ b/src/wire/admin/mod.rs
@@ -29,6 +29,8 @@
     Leave,
     /// Ends that.
     Join,
+    /// Who belongs to the cluster, as this broker knows it.
+    Members,
 }
 
 /// Why a line is no call.
@@ -41,7 +43,7 @@
     #[error("not a line of text")]
     NotText,
     /// The first word is none.
-    #[error("unknown call; there are HEALTH, OFFLINE ID, ONLINE ID, LEAVE, JOIN")]
+    #[error("unknown call; there are HEALTH, OFFLINE ID, ONLINE ID, LEAVE, JOIN, MEMBERS")]
     Unknown,
     /// The call wants an id.
     #[error("the call needs the id of a disk node")]
@@ -94,6 +96,7 @@
         "ONLINE" => node(false),
         "LEAVE" => plain(Call::Leave),
         "JOIN" => plain(Call::Join),
+        "MEMBERS" => plain(Call::Members),
         _ => Err(Wrong::Unknown),
     }
 }
@@ -116,6 +119,7 @@
         assert_eq!(of(b"HEALTH\r\n"), Some(Ok(Call::Health)));
         assert_eq!(of(b"leave\n"), Some(Ok(Call::Leave)));
         assert_eq!(of(b"JOIN \n"), Some(Ok(Call::Join)));
+        assert_eq!(of(b"MEMBERS\n"), Some(Ok(Call::Members)));
         assert_eq!(of(b"OFFLINE s-5be2a07c\r\n"), Some(Ok(node("s-5be2a07c", true))));
         assert_eq!(of(b"ONLINE  s-5be2a07c\n"), Some(Ok(node("s-5be2a07c", false))));
         for (line, wrong) in [
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod admin;
 pub mod clock;
+pub mod cluster;
 pub mod discovery;
 pub mod link;
 pub mod nbd;
--- /dev/null
+++ b/tests/cluster.rs
@@ -0,0 +1,124 @@
+//! Membership among processes of the program, with faults between them.
+
+use claywinch_lab::rig::{Rig, Times};
+use claywinch_lab::simulated::{name, Link};
+use std::path::Path;
+use std::time::Duration;
+
+const BROKERS: usize = 5;
+/// The stated time is 3 s: pauses of half of it throw nobody out.
+const TIMES: Times = Times { probe_ms: 250, silence_ms: 3_000, replace_s: 6 };
+const PAUSE: Duration = Duration::from_millis(1_500);
+/// Until a dead one is out: the stated time, the wait for others to be cut with it, and room for a slow machine.
+const OUT: Duration = Duration::from_secs(12);
+
+fn rig(test: &str) -> Rig {
+    let folder = std::env::temp_dir().join(format!("claywinch-cluster-{test}-{}", std::process::id()));
+    let program = Path::new(env!("CARGO_BIN_EXE_claywinch"));
+    let mut rig = Rig::new(program, &folder, BROKERS, 3, TIMES).expect("a rig");
+    (0..BROKERS).for_each(|b| rig.start(b).expect("starts"));
+    holds(&rig, "they come together", Rig::agree);
+    rig
+}
+
+fn holds(rig: &Rig, what: &str, holds: impl Fn(&Rig) -> bool) {
+    assert!(rig.within(OUT, holds), "never came about: {what}\n{}", rig.timeline());
+}
+
+/// Whether those that can be asked, and are in, know that one is out.
+fn is_out(rig: &Rig, who: usize) -> bool {
+    let others = (0..BROKERS).filter(|b| *b != who && rig.runs(*b));
+    others.map(|b| rig.said(b)).all(|s| s.is_some_and(|s| !s.names().contains(&name(who))))
+}
+
+fn views(rig: &Rig) -> u64 {
+    rig.said(1).expect("answers").view
+}
+
+fn sound(rig: &Rig) {
+    let broken = rig.history().broken;
+    assert!(broken.is_empty(), "{broken:?}\n{}", rig.timeline());
+}
+
+/// Guards against a dead broker that stays, one back that is taken for its former life, and a rolling restart that
+/// ends in more than one view.
+#[test]
+fn one_killed_is_out_and_one_restarted_is_in_again_as_another_incarnation() {
+    let mut rig = rig("kill");
+    let was = rig.said(4).expect("answers").incarnation;
+    rig.kill(4).expect("kills");
+    holds(&rig, "the dead one is out", |r| is_out(r, 4));
+    rig.start(4).expect("starts");
+    holds(&rig, "it is back", Rig::agree);
+    assert!(rig.said(4).expect("answers").incarnation > was);
+    for broker in 0..BROKERS {
+        rig.stop(broker).expect("stops");
+        holds(&rig, "one that stops has left", |r| is_out(r, broker));
+        rig.start(broker).expect("starts");
+        holds(&rig, "the next may go", Rig::agree);
+    }
+    sound(&rig);
+}
+
+/// Guards against a healthy broker thrown out for a pause, for loss, or for one neighbour that cannot hear it.
+#[test]
+fn pauses_loss_and_a_cut_between_two_throw_nobody_out() {
+    let mut rig = rig("pause");
+    let before = views(&rig);
+    for broker in [0, 3] {
+        rig.pause(broker, true).expect("pauses");
+        std::thread::sleep(PAUSE);
+        rig.pause(broker, false).expect("wakes");
+        std::thread::sleep(PAUSE / 2);
+    }
+    rig.rest(Link { loss: 0.1, delay: (100, 50_000), twice: 0.1 });
+    rig.link(3, 4, Link::CUT);
+    rig.link(0, 1, Link::CUT);
+    rig.link(1, 0, Link::CUT);
+    std::thread::sleep(Duration::from_secs(9));
+    assert!(rig.history().removed.is_empty(), "{:?}\n{}", rig.history().removed, rig.timeline());
+    rig.mend();
+    holds(&rig, "one view", Rig::agree);
+    assert_eq!(views(&rig), before, "{}", rig.timeline());
+    sound(&rig);
+}
+
+/// Guards against a broker that stays in though nobody hears it, or though it hears nobody, and against one that wakes
+/// after it was thrown out and acts as a member of old.
+#[test]
+fn one_cut_off_in_one_direction_or_long_asleep_is_out_and_comes_back() {
+    let mut rig = rig("cut");
+    let others = |who: usize| (0..BROKERS).filter(move |b| *b != who);
+    others(4).for_each(|b| rig.link(4, b, Link::CUT));
+    holds(&rig, "one that nobody hears is out", |r| is_out(r, 4));
+    rig.mend();
+    holds(&rig, "it is back", Rig::agree);
+    others(0).for_each(|b| rig.link(b, 0, Link::CUT));
+    holds(&rig, "one that hears nobody is out, though it may have led", |r| is_out(r, 0));
+    rig.mend();
+    holds(&rig, "it is back", Rig::agree);
+    rig.pause(2, true).expect("pauses");
+    holds(&rig, "one that sleeps is out", |r| is_out(r, 2));
+    rig.pause(2, false).expect("wakes");
+    holds(&rig, "it knows, and asks to be let in", Rig::agree);
+    sound(&rig);
+}
+
+/// Guards against a voter without its disk that votes under its old number, and against all being down.
+#[test]
+fn a_voter_without_its_disk_and_a_night_with_all_down_end_in_one_view() {
+    let mut rig = rig("disk");
+    rig.kill(1).expect("kills");
+    rig.forget(1);
+    rig.start(1).expect("starts");
+    holds(&rig, "it is back", Rig::agree);
+    let seated =
+        |r: &Rig| r.log(1).lines().rev().find(|l| l.contains("voters=")).is_some_and(|l| !l.contains(" 2="));
+    holds(&rig, "its old seat is given up", |r| seated(r) || r.log(0).contains("1=b000,3=b002"));
+    let before = views(&rig);
+    (0..BROKERS).for_each(|b| rig.kill(b).expect("kills"));
+    (0..BROKERS).for_each(|b| rig.start(b).expect("starts"));
+    holds(&rig, "all are back", Rig::agree);
+    assert!(views(&rig) > before);
+    sound(&rig);
+}
