Keep drains at every broker of a cluster, under leases on the view in force

Need: a drain that was answered must hold at a broker that is cut off, from its deadline on. state/membership/lease.rs (the word of enough voters that they have written down no later view, counted from the question), drains in the view, OFFLINE and ONLINE through the cluster, the check where bytes are handed to the socket (wire/link.rs); without a lease the planner is told that all nodes drain.

--- a/crates/lab/src/simulated.rs
+++ b/crates/lab/src/simulated.rs
@@ -2,6 +2,7 @@
 //! plays again exactly. Faults are put between brokers, and every view that any of them adopts is noted.
 
 use claywinch::interface::Time;
+use claywinch::state::membership::lease::over_after;
 use claywinch::state::membership::node::{Body, Node, Output, Packet, Phase};
 use claywinch::state::membership::{Settings, View};
 use rand::rngs::StdRng;
@@ -12,6 +13,8 @@
 
 /// One second, in the unit of [`Time`].
 pub const SECOND: Time = 1_000_000;
+/// How long a lease lasts.
+pub const LEASE: Time = 3 * SECOND;
 /// Between two turns of a broker that nothing reaches.
 const TURN: Time = 100_000;
 /// Packets that wait at a paused broker; more are lost, as at a full socket.
@@ -114,6 +117,14 @@
         }
     }
 
+    /// Takes that a broker may send now by this view: none may by one that was followed by another long enough ago.
+    pub fn sends(&mut self, now: Time, by: &str, view: u64) {
+        let next = self.views.get(&(view + 1)).map(|(_, at)| *at);
+        if next.is_some_and(|at| now > at + over_after(LEASE)) {
+            self.broken.push(Broken(now, format!("{by} may send by view {view}, long over")));
+        }
+    }
+
     /// The last view that anyone adopted.
     pub fn last(&self) -> Option<&View> {
         self.views.values().next_back().map(|(v, _)| v)
@@ -148,6 +159,8 @@
     pub history: History,
     /// For chance; schedules may draw from it, too.
     pub chance: StdRng,
+    /// A planted fault: leases that are taken to end so much later.
+    pub forged: Time,
     /// Counts bytes of packets, which costs time.
     pub weighs: bool,
     voters: usize,
@@ -173,6 +186,7 @@
             link: Link::default(),
             history: History::default(),
             chance: StdRng::seed_from_u64(seed),
+            forged: 0,
             weighs: false,
             voters,
             silence: 4 * SECOND,
@@ -194,6 +208,7 @@
             silence: self.silence,
             settle: SECOND / 2,
             replace: 30 * SECOND,
+            lease: LEASE,
         }
     }
 
@@ -351,10 +366,17 @@
                 Output::View(view) => {
                     let seen = std::mem::replace(&mut self.hosts[host].seen, view.number);
                     self.history.adopted(now, &name(host), seen, &view);
+                    if let Some(node) = &mut self.hosts[host].node {
+                        node.applied(view.number);
+                    }
                 }
                 Output::Log(_) => {}
             }
         }
+        let Some(node) = &self.hosts[host].node else { return };
+        if node.lease().saturating_add(self.forged) > now {
+            self.history.sends(now, &name(host), node.in_force());
+        }
     }
 
     fn send(&mut self, from: usize, to: &str, packet: Packet) {
--- a/src/run/cluster.rs
+++ b/src/run/cluster.rs
@@ -1,11 +1,15 @@
 //! Drives the membership among brokers: its file, its socket, its store and its turns.
 
 use super::error::{io, StartError};
+use crate::interface::Time;
 use crate::state::membership::council::CouncilError;
+use crate::state::membership::lease::over_after;
 use crate::state::membership::node::{Node, Output, Phase};
-use crate::state::membership::{Name, Settings, View, MOST_NAME};
+use crate::state::membership::{Name, Settings, View, MOST_DRAINS, MOST_NAME};
+use crate::wire::admin::desk;
 use crate::wire::clock::Clock;
 use crate::wire::cluster::{decode, encode, MOST_DATAGRAM};
+use crate::wire::link::Permit;
 use redb::{Database, ReadableDatabase, TableDefinition};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
@@ -21,6 +25,8 @@
 const MOST_PACKETS: usize = 256;
 /// How long a departure may take at the end of the process.
 const GOING: Duration = Duration::from_millis(1_500);
+/// How long a drain that was asked for is pressed for.
+const PRESS: Time = 900_000;
 /// Between two tries to open a store that another process holds.
 const HELD: Duration = Duration::from_millis(200);
 /// What is kept: one value.
@@ -56,6 +62,23 @@
     /// Seconds after which a voter that is out is replaced.
     #[serde(default = "replace_s")]
     pub replace_s: u32,
+    /// Milliseconds that a broker may send to nodes without a new word of the voters.
+    #[serde(default = "lease_ms")]
+    pub lease_ms: u32,
+    /// What a broker does without a lease.
+    #[serde(default)]
+    pub without_lease: WithoutLease,
+}
+
+/// What a broker does that can reach too few voters for a lease.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum WithoutLease {
+    /// It sends nothing to nodes, since one of them may have been taken out.
+    #[default]
+    Stop,
+    /// It goes on as it last knew. Drains then hold only at brokers that hear of them.
+    Serve,
 }
 
 fn cluster() -> String {
@@ -74,6 +97,10 @@
     500
 }
 
+fn lease_ms() -> u32 {
+    3_000
+}
+
 fn replace_s() -> u32 {
     30
 }
@@ -117,6 +144,9 @@
         if self.silence_ms < 4 * self.probe_ms {
             return Err(format!("silence_ms = {}: four times probe_ms at least", self.silence_ms));
         }
+        if self.lease_ms < 2 * self.probe_ms {
+            return Err(format!("lease_ms = {}: twice probe_ms at least", self.lease_ms));
+        }
         Ok(())
     }
 
@@ -131,6 +161,7 @@
             silence: ms(self.silence_ms),
             settle: ms(self.settle_ms),
             replace: i64::from(self.replace_s) * 1_000_000,
+            lease: ms(self.lease_ms),
         }
     }
 }
@@ -201,6 +232,21 @@
     Leave(Option<oneshot::Sender<()>>),
     /// Comes back.
     Join,
+    /// Takes a node out everywhere, or puts it back; told with the milliseconds until it holds.
+    Drain(String, bool, oneshot::Sender<u64>),
+}
+
+/// Puts a view's drains into force; told when nothing new goes to them from here.
+pub type Apply = Box<dyn Fn(&BTreeSet<String>) -> oneshot::Receiver<()>>;
+
+/// What the rest of the program does for the cluster.
+pub struct Hooks {
+    /// Puts a view's drains into force; told when nothing new goes to them from here.
+    pub apply: Apply,
+    /// Sends to no node any more, or again.
+    pub halt: Box<dyn Fn(bool)>,
+    /// Until when links may write.
+    pub permit: Permit,
 }
 
 /// A broker's part in its cluster, as the rest of the program sees it.
@@ -211,11 +257,6 @@
 }
 
 impl Cluster {
-    /// One line of JSON: the view, where this broker stands, the members.
-    pub fn members(&self) -> String {
-        self.status.borrow().clone()
-    }
-
     /// Gives an order. One that has ended its part heeds none.
     pub fn order(&self, order: Order) {
         let _ = self.orders.send(order);
@@ -229,22 +270,35 @@
     }
 
     /// Takes part until the process ends. Must run inside a [`tokio::task::LocalSet`].
-    pub async fn start(file: File, seed: u64, clock: Clock) -> Result<Cluster, StartError> {
+    pub async fn start(file: File, seed: u64, clock: Clock, hooks: Hooks) -> Result<Cluster, StartError> {
         let socket =
             UdpSocket::bind(file.listen).await.map_err(io(format!("listening on {}", file.listen)))?;
         let (orders, inbox) = mpsc::unbounded_channel();
         let (status, watched) = watch::channel(String::new());
         tracing::info!(name = file.name, listen = %file.listen, advertise = %file.advertise, "cluster on");
-        let task = Task { file, seed, clock, socket, status, inbox, garbage: 0 };
+        let task = Task { file, seed, clock, hooks, socket, status, inbox, garbage: 0 };
         tokio::task::spawn_local(task.run());
         Ok(Cluster { orders, status: watched })
     }
 }
 
+impl desk::Cluster for Cluster {
+    fn members(&self) -> String {
+        self.status.borrow().clone()
+    }
+
+    fn drain(&self, name: &str, out: bool) -> oneshot::Receiver<u64> {
+        let (told, agreed) = oneshot::channel();
+        self.order(Order::Drain(name.to_string(), out, told));
+        agreed
+    }
+}
+
 struct Task {
     file: File,
     seed: u64,
     clock: Clock,
+    hooks: Hooks,
     socket: UdpSocket,
     status: watch::Sender<String>,
     inbox: mpsc::UnboundedReceiver<Order>,
@@ -267,6 +321,8 @@
     phase: Phase,
     incarnation: u64,
     leads: bool,
+    leased: bool,
+    drains: &'a BTreeSet<String>,
     members: Vec<Shown<'a>>,
 }
 
@@ -275,6 +331,9 @@
         let outcome = self.take_part().await;
         if let Err(error) = outcome {
             tracing::error!(%error, "takes no further part in the cluster");
+            if self.file.without_lease == WithoutLease::Stop {
+                (self.hooks.halt)(true);
+            }
             self.status.send_replace(String::new());
         }
         // Who asks to leave is answered: it is out of it.
@@ -309,6 +368,11 @@
         }
         let mut buffer = vec![0; MOST_DATAGRAM];
         let mut leaving: Vec<oneshot::Sender<()>> = Vec::new();
+        let mut drains: Vec<(String, bool, oneshot::Sender<u64>)> = Vec::new();
+        let (reached, mut in_force) = mpsc::unbounded_channel();
+        let bound = self.file.without_lease == WithoutLease::Stop;
+        let mut halted = bound;
+        (self.hooks.halt)(halted);
         let mut turns = tokio::time::interval(TURN);
         turns.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
@@ -325,7 +389,15 @@
                         leaving.extend(told);
                     }
                     Order::Join => node.join(),
-                }
+                    Order::Drain(name, out, told) => {
+                        drains.retain(|(_, _, told)| !told.is_closed());
+                        if drains.len() < MOST_DRAINS {
+                            node.drain(self.clock.now(), name.clone(), out, PRESS);
+                            drains.push((name, out, told));
+                        }
+                    }
+                },
+                Some(view) = in_force.recv() => node.applied(view),
             }
             for _ in 0..MOST_PACKETS {
                 let Ok((n, from)) = self.socket.try_recv_from(&mut buffer) else { break };
@@ -344,11 +416,33 @@
                 match output {
                     Output::Keep(value) => store.keep(&value)?,
                     Output::Send(to, packet) => self.send(&to, &encode(&packet).unwrap_or_default()),
-                    Output::View(view) => told(&view, &node),
+                    Output::View(view) => {
+                        told(&view, &node);
+                        let (done, reached) = ((self.hooks.apply)(&view.drains), reached.clone());
+                        tokio::task::spawn_local(async move {
+                            if done.await.is_ok() {
+                                let _ = reached.send(view.number);
+                            }
+                        });
+                    }
                     Output::Log(text) => tracing::info!("{text}"),
                 }
             }
             self.show(&node);
+            let lapsed = self.clock.now() >= node.lease();
+            if bound {
+                self.hooks.permit.set(node.lease());
+                if std::mem::replace(&mut halted, lapsed) != lapsed {
+                    tracing::info!(view = node.in_force(), halted, "lease");
+                    (self.hooks.halt)(halted);
+                }
+            }
+            let over = over_after(i64::from(self.file.lease_ms));
+            let agreed = |(name, out, _): &mut (String, bool, _)| node.view().drains.contains(name) == *out;
+            for (_, out, told) in drains.extract_if(.., agreed) {
+                // Who has stopped waiting need not be told.
+                let _ = told.send(if out && bound { over as u64 } else { 0 });
+            }
             if node.phase() != Phase::Leaving {
                 for told in leaving.drain(..) {
                     // Who has stopped waiting need not be told.
@@ -386,6 +480,8 @@
             phase: node.phase(),
             incarnation: node.incarnation(),
             leads: node.leads(),
+            leased: self.clock.now() < node.lease(),
+            drains: &node.view().drains,
             members: members.chain(left).collect(),
         };
         let text = serde_json::to_string(&status).unwrap_or_default();
@@ -406,6 +502,7 @@
         phase = ?node.phase(),
         members = members.join(","),
         voters = voters.join(","),
+        drains = view.drains.iter().cloned().collect::<Vec<_>>().join(","),
         "view"
     );
 }
--- a/src/run/fleet.rs
+++ b/src/run/fleet.rs
@@ -6,7 +6,7 @@
 use crate::state::room::Room;
 use crate::state::stage::Stage;
 use crate::wire::clock::Clock;
-use crate::wire::link::{Exchange, LinkTask, Order};
+use crate::wire::link::{Exchange, LinkTask, Order, Permit};
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -41,6 +41,8 @@
     pub connect_timeout: Rc<Cell<Duration>>,
     /// Room for replies that are not whole yet.
     pub room: Room,
+    /// Until when anything may be written to nodes.
+    pub permit: Permit,
 }
 
 impl<W: Wire, G: Stage<W>> Fleet<W, G> {
@@ -92,6 +94,7 @@
                             planner: self.own.clone(),
                             clock: self.clock,
                             room: self.room.clone(),
+                            permit: self.permit.clone(),
                         };
                         tokio::task::spawn_local(task.run());
                     }
--- a/src/run/nbd.rs
+++ b/src/run/nbd.rs
@@ -16,6 +16,7 @@
 use crate::state::seats::Seats;
 use crate::wire::clock::{Clock, Pulse};
 use crate::wire::discovery::NodeNumbers;
+use crate::wire::link::Permit;
 use crate::wire::nbd::client::Node;
 use crate::wire::nbd::guard::Guard;
 use crate::wire::nbd::server::{Client, Exports};
@@ -42,6 +43,8 @@
     pub limits: Limits,
     /// The broker's phase.
     pub phase: watch::Receiver<Phase>,
+    /// Until when anything may be written to nodes.
+    pub permit: Permit,
 }
 
 /// The front as it runs.
@@ -121,6 +124,7 @@
         clock: place.clock,
         connect_timeout: Rc::new(Cell::new(bounds.connect())),
         room: Room::new(place.limits.room),
+        permit: place.permit,
     };
     let names = exports.clone();
     tokio::task::spawn_local(
--- a/src/run/start.rs
+++ b/src/run/start.rs
@@ -1,7 +1,7 @@
 //! Puts the broker together, serves until it is told to stop, and sees everything answered before it ends.
 
 use super::catalogue::Deploy;
-use super::cluster::{Cluster, Order};
+use super::cluster::{Cluster, Hooks, Order, WithoutLease};
 use super::config::{reread, Config, ConfigError, Reread};
 use super::error::{io, StartError};
 use super::fleet::Fleet;
@@ -21,7 +21,7 @@
 use crate::state::stage::Through;
 use crate::state::upkeep::Upkeep;
 use crate::wire::admin;
-use crate::wire::admin::desk::{step, Desk};
+use crate::wire::admin::desk::{step, tell, Desk};
 use crate::wire::admin::serve::MOST_CALLERS;
 use crate::wire::clock::{Clock, Pulse};
 use crate::wire::discovery::NodeNumbers;
@@ -30,6 +30,7 @@
 use crate::wire::resp::Resp;
 use crate::wire::watch::WatchTask;
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -203,6 +204,9 @@
     let connect_timeout = Rc::new(Cell::new(bounds.connect()));
     // Slow clients of large values must not use up the room of small requests.
     let windows = Room::new(limits.windows);
+    // A broker of a cluster sends nothing before its first lease.
+    let bound = config.cluster.as_ref().is_some_and(|file| file.without_lease == WithoutLease::Stop);
+    let permit = Rc::new(Cell::new(if bound { Time::MIN } else { Time::MAX }));
     let fleet = Fleet {
         name: "resp",
         planner,
@@ -214,6 +218,7 @@
         clock,
         connect_timeout: connect_timeout.clone(),
         room: room.clone(),
+        permit: permit.clone(),
     };
     tokio::task::spawn_local(fleet.run(move |_| Node::new(windows.clone())));
     let common = Rc::new(Common::new(terms, room, phases.clone()));
@@ -296,21 +301,41 @@
         None => None,
         Some(deploy) => {
             let phase = phases.clone();
-            let place = nbd::Place { clock, pulse, seed: config.seed, limits: nbd_limits, phase };
+            let place = nbd::Place {
+                clock,
+                pulse,
+                seed: config.seed,
+                limits: nbd_limits,
+                phase,
+                permit: permit.clone(),
+            };
             Some(nbd::start(deploy, config.nbd_file, place, bounds)?)
         }
     };
     let cluster = match config.cluster {
         None => None,
-        Some(file) => Some(Cluster::start(file, mix(&clock.now().to_le_bytes(), id), clock).await?),
+        Some(file) => {
+            let (nodes, planner) = (upkeep.clone(), own.clone());
+            let apply = Box::new(move |drains: &BTreeSet<String>| {
+                let told = nodes.borrow_mut().share(clock.now(), drains.clone());
+                tell(&planner, told)
+            });
+            let (nodes, planner) = (upkeep.clone(), own.clone());
+            let halt = Box::new(move |halted| {
+                let told = nodes.borrow_mut().halt(clock.now(), halted);
+                drop(tell(&planner, told));
+            });
+            let hooks = Hooks { apply, halt, permit: permit.clone() };
+            Some(Cluster::start(file, mix(&clock.now().to_le_bytes(), id), clock, hooks).await?)
+        }
     };
     if let Some(cluster) = cluster.clone() {
         tokio::task::spawn_local(follow_phase(cluster, phases.clone()));
     }
     if let Some(address) = &config.admin {
-        let members = cluster.clone().map(|c| Box::new(move || c.members()) as Box<dyn Fn() -> String>);
+        let cluster = cluster.clone().map(|c| Box::new(c) as Box<dyn admin::desk::Cluster>);
         let keeper = file.is_some().then_some(keeper);
-        let desk = Rc::new(Desk { phase: phase.clone(), upkeep, planner: own, keeper, members, clock });
+        let desk = Rc::new(Desk { phase: phase.clone(), upkeep, planner: own, keeper, cluster, clock });
         let callers = Seats::default();
         tokio::task::spawn_local(sweep(callers.clone(), clock));
         tokio::task::spawn_local(admin::serve::accept(listen(address)?, desk, callers));
--- a/src/state/membership/council.rs
+++ b/src/state/membership/council.rs
@@ -105,6 +105,8 @@
     /// There is something to keep that the consensus knows nothing of.
     touched: bool,
     base: (u64, u64),
+    /// Views in the log that are not known to be committed, by index.
+    written: BTreeMap<u64, u64>,
     ticks: u64,
     pressed: Option<u64>,
     changing: Option<u64>,
@@ -138,11 +140,14 @@
         }
         let entries: Result<Vec<Entry>, _> =
             kept.entries.iter().map(|e| Entry::parse_from_bytes(e)).collect();
-        storage.wl().append(&entries?)?;
+        let entries = entries?;
+        storage.wl().append(&entries)?;
         storage.wl().set_hardstate(HardState::parse_from_bytes(&kept.hard)?);
         storage.wl().set_conf_state(conf);
+        let log = entries;
         let mut council = Council::over(kept.id, storage, kept.view, kept.applied, kept.base)?;
         council.roll = kept.roll;
+        council.write_down(&log);
         Ok(council)
     }
 
@@ -174,6 +179,7 @@
             view,
             roll,
             touched: false,
+            written: BTreeMap::new(),
             base,
             ticks: 0,
             pressed: None,
@@ -211,6 +217,23 @@
         &self.view
     }
 
+    /// The latest view that it has written down, committed or not.
+    pub fn latest(&self) -> u64 {
+        self.written.values().copied().fold(self.view.number, u64::max)
+    }
+
+    /// Notes the views among entries that are put in the place of the log's from the first one's index on.
+    fn write_down(&mut self, entries: &[Entry]) {
+        if let Some(first) = entries.first() {
+            self.written.split_off(&first.index);
+        }
+        for entry in entries.iter().filter(|e| e.get_entry_type() == EntryType::EntryNormal) {
+            if let Ok(change) = postcard::from_bytes::<Change>(&entry.data) {
+                self.written.insert(entry.index, change.view.number);
+            }
+        }
+    }
+
     /// Whether it leads now. Another may already do so, too; only one can commit.
     pub fn leads(&self) -> bool {
         self.node.raft.state == StateRole::Leader
@@ -293,6 +316,7 @@
             self.apply(ready.take_committed_entries(), &mut turn)?;
             if !ready.entries().is_empty() {
                 self.storage.wl().append(ready.entries())?;
+                self.write_down(ready.entries());
                 changed = true;
             }
             if let Some(state) = ready.hs() {
@@ -334,6 +358,7 @@
 
     fn apply(&mut self, entries: Vec<Entry>, turn: &mut Turn) -> Result<(), CouncilError> {
         for entry in entries {
+            self.written.remove(&entry.index);
             if entry.data.is_empty() {
                 continue;
             }
--- a/src/state/membership/mod.rs
+++ b/src/state/membership/mod.rs
@@ -4,6 +4,7 @@
 pub mod council;
 pub mod cut;
 pub mod edges;
+pub mod lease;
 pub mod node;
 pub mod rings;
 
@@ -16,6 +17,8 @@
 
 /// Most bytes of a name or an address in a message.
 pub const MOST_NAME: usize = 128;
+/// Most nodes that may be out at once.
+pub const MOST_DRAINS: usize = 128;
 /// Most members of a view: the messages that carry one must fit a datagram.
 pub const MOST_MEMBERS: usize = 500;
 
@@ -38,6 +41,8 @@
     pub settle: Time,
     /// A voter that has been out for so long is replaced.
     pub replace: Time,
+    /// How long a broker may act on a view without a new word of the voters.
+    pub lease: Time,
 }
 
 impl Settings {
@@ -88,6 +93,10 @@
     pub members: Vec<Member>,
     /// The voters.
     pub seats: Vec<Seat>,
+    /// How many voters the cluster is to have.
+    pub wanted: u8,
+    /// Nodes that staff have taken out: nothing new goes there.
+    pub drains: BTreeSet<String>,
 }
 
 impl View {
--- a/src/state/membership/node.rs
+++ b/src/state/membership/node.rs
@@ -3,8 +3,9 @@
 use super::council::{Council, CouncilError, Roll};
 use super::cut::Cut;
 use super::edges::{Edges, Subject};
+use super::lease::{enough, Lease};
 use super::rings::Rings;
-use super::{mix, Member, Name, Seat, Settings, View, MOST_NAME};
+use super::{mix, Member, Name, Seat, Settings, View, MOST_DRAINS, MOST_NAME};
 use crate::interface::Time;
 use protobuf::Message as _;
 use raft::eraftpb::{ConfChangeType, Message};
@@ -41,6 +42,12 @@
     Leave,
     /// Those of the sender's subjects whose edges are down.
     Down(BTreeSet<Name>),
+    /// Asks for a lease on the view of that number; when, by the sender's clock.
+    Renew(Time, u64),
+    /// Has written down no view later than that number: the time of the question, and the voter's number.
+    Grant(Time, u64, u64),
+    /// Takes a node out, or puts it back.
+    Drain(String, bool),
     /// For the consensus.
     Raft(Vec<u8>),
     /// A founder's word: whether it has founded, and the lives (by address) that it counted on.
@@ -113,11 +120,17 @@
     unseated: BTreeMap<u64, Time>,
     /// Who was in an earlier view and is in this one no more; the last few.
     departed: VecDeque<Member>,
+    lease: Lease,
+    /// Drains that this broker was asked for, and when it will give up on each.
+    wishes: BTreeMap<String, (bool, Time)>,
+    /// Drains that a leader is to put into the next view.
+    drains: BTreeMap<String, bool>,
     led: bool,
     tick: Time,
     repeat: Time,
     join: Time,
     ask: Time,
+    wish: Time,
     out: Vec<Output>,
 }
 
@@ -139,11 +152,15 @@
             leaves: BTreeMap::new(),
             unseated: BTreeMap::new(),
             departed: VecDeque::new(),
+            lease: Lease::new(set.lease),
+            wishes: BTreeMap::new(),
+            drains: BTreeMap::new(),
             led: false,
             tick: now,
             repeat: now,
             join: now,
             ask: now,
+            wish: now,
             out: Vec::new(),
             set,
             life,
@@ -182,6 +199,29 @@
         self.edges.down().chain(self.cut.suspects()).cloned().collect()
     }
 
+    /// The view of that number is in force here: what it takes out is asked for nothing new.
+    pub fn applied(&mut self, view: u64) {
+        self.lease.applied(view);
+    }
+
+    /// Until when this broker may send to nodes.
+    pub fn lease(&self) -> Time {
+        self.lease.until()
+    }
+
+    /// The view in force here.
+    pub fn in_force(&self) -> u64 {
+        self.lease.view()
+    }
+
+    /// Asks for a node to be taken out everywhere, or put back, until a view says so, for so long.
+    pub fn drain(&mut self, now: Time, name: String, out: bool, patience: Time) {
+        if self.wishes.len() < MOST_DRAINS || self.wishes.contains_key(&name) {
+            self.wishes.insert(name, (out, now + patience));
+            self.wish = now;
+        }
+    }
+
     /// Members that have gone, the last few.
     pub fn departed(&self) -> &VecDeque<Member> {
         &self.departed
@@ -284,6 +324,19 @@
                 self.forward(&address, from.clone(), life, incarnation, Body::Leave);
                 self.leaves.insert(from, incarnation);
             }
+            Body::Renew(at, number) => {
+                let word = self.council.as_ref().filter(|c| number >= c.latest()).map(Council::id);
+                if let Some(id) = word {
+                    self.send(&address, Body::Grant(at, number, id));
+                }
+            }
+            Body::Grant(at, number, id) => self.granted(at, number, id),
+            Body::Drain(node, out) if self.view.holds(&from, incarnation) => {
+                self.forward(&address, from, life, incarnation, Body::Drain(node.clone(), out));
+                if node.len() <= MOST_NAME && self.drains.len() < MOST_DRAINS {
+                    self.drains.insert(node, out);
+                }
+            }
             Body::Down(down) if view == self.view.number && self.view.holds(&from, incarnation) => {
                 self.cut.told(now, &from, down);
             }
@@ -291,6 +344,35 @@
         }
     }
 
+    fn granted(&mut self, at: Time, view: u64, seat: u64) {
+        let seats = &self.view.seats;
+        if seats.iter().any(|s| s.id == seat) {
+            self.lease.granted(at, view, seat, enough(seats.len(), usize::from(self.view.wanted)));
+        }
+    }
+
+    /// Asks the voters for a lease, and for drains that are wished for.
+    fn asks(&mut self, now: Time) {
+        if self.incarnation == 0 {
+            return;
+        }
+        if self.lease.view() == self.view.number && self.lease.asks(now) {
+            let number = self.view.number;
+            self.voters().into_iter().for_each(|to| self.send(&to, Body::Renew(now, number)));
+            if let Some(id) = self.council.as_ref().filter(|c| number >= c.latest()).map(Council::id) {
+                self.granted(now, number, id);
+            }
+        }
+        self.wishes.retain(|_, (_, end)| now < *end);
+        if !self.wishes.is_empty() && now >= self.wish {
+            self.wish = now + self.set.probe / 2;
+            for (node, (out, _)) in self.wishes.clone() {
+                self.voters().into_iter().for_each(|to| self.send(&to, Body::Drain(node.clone(), out)));
+                self.drains.insert(node, out);
+            }
+        }
+    }
+
     fn tell(&mut self, address: &str) {
         if self.view.number > 0 {
             let view = self.view.clone();
@@ -337,6 +419,8 @@
         self.joins.clear();
         let holds = |(n, i): (&Name, &mut u64)| self.view.holds(n, *i);
         self.leaves.retain(|n, i| holds((n, i)));
+        self.drains.retain(|node, out| self.view.drains.contains(node) != *out);
+        self.wishes.retain(|node, (out, _)| self.view.drains.contains(node) != *out);
         let own = self.view.member(&self.set.name).cloned();
         self.incarnation = own.as_ref().filter(|m| m.life == self.life).map_or(0, |m| m.incarnation);
         self.phase = match (self.phase, own) {
@@ -464,6 +548,7 @@
         if let Some(seat) = seat.filter(|_| self.council.is_none()) {
             self.council = Some(Council::learn(seat.id)?);
         }
+        self.asks(now);
         self.vote(now)?;
         Ok(std::mem::take(&mut self.out))
     }
@@ -481,6 +566,7 @@
             self.cut.clear();
             self.joins.clear();
             self.unseated.clear();
+            self.drains.retain(|node, _| self.wishes.contains_key(node));
         }
         if council.leads() && council.view().number == self.view.number {
             self.lead(now, &mut council)?;
@@ -519,15 +605,26 @@
             self.cut.judge(now, self.set.settle, &self.set.name, &self.view, &self.rings).unwrap_or_default();
         out.extend(self.leaves.keys().cloned());
         let seats = self.seats(now, council);
-        if !council.may_propose() || (out.is_empty() && self.joins.is_empty() && seats.is_none()) {
+        let same = |(node, out): (&String, &bool)| self.view.drains.contains(node) == *out;
+        let drains = !self.drains.iter().all(same);
+        let nothing = !drains && out.is_empty() && self.joins.is_empty() && seats.is_none();
+        if nothing || !council.may_propose() {
             return Ok(());
         }
         let joins = std::mem::take(&mut self.joins);
         let mut next = self.view.next(&out, joins.values().map(|(m, _)| m.clone()));
         if self.view.number == 0 {
+            next.wanted = self.set.founders() as u8;
             next.origin = mix(&postcard::to_stdvec(council.roll())?, 0);
         }
         next.seats = seats.unwrap_or(next.seats);
+        for (node, out) in &self.drains {
+            if !out {
+                next.drains.remove(node);
+            } else if next.drains.len() < MOST_DRAINS {
+                next.drains.insert(node.clone());
+            }
+        }
         // A voter that is back with what it kept holds its seat again.
         for (member, id) in joins.values() {
             if let Some(seat) = next.seats.iter_mut().find(|s| Some(s.id) == *id && s.name == member.name) {
@@ -567,9 +664,14 @@
         } else if let Some(new) = seats.iter().find(|s| !known(&s.id)) {
             council.reseat(ConfChangeType::AddLearnerNode, new.id);
         }
-        let wanted = self.set.founders();
+        let wanted = usize::from(self.view.wanted);
         let lost = seats.iter().find(|s| dead(s))?;
         let alive = seats.iter().filter(|s| voters.contains(&s.id) && !dead(s)).count();
+        // One at a time: those who grant leases must meet those who commit.
+        let settled = voters.iter().chain(&learners).all(|id| seats.iter().any(|s| s.id == *id));
+        if alive >= wanted && !settled {
+            return None;
+        }
         if alive >= wanted {
             return Some(seats.iter().filter(|s| s.id != lost.id).cloned().collect());
         }
--- a/src/state/upkeep.rs
+++ b/src/state/upkeep.rs
@@ -4,7 +4,7 @@
 use super::planner::Member;
 use crate::interface::{ListKind, NodeEntry, NodeId, NodeState, Time};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Most names that are remembered as once listed: what is needed to say no to one that never was.
 const MOST_NAMES: usize = 8192;
@@ -57,6 +57,10 @@
     next: u64,
     /// The last calls by name; those that put a node back end after a while.
     bans: BTreeMap<String, Ban>,
+    /// Names that are out at all brokers of the cluster, as its view says; replaced as a whole.
+    shared: BTreeSet<String>,
+    /// This broker may send to no node now.
+    halted: bool,
     /// How long after its start a node is left to the process that takes over, if one does.
     left_cold: Option<Time>,
 }
@@ -104,7 +108,35 @@
     }
 
     fn is_out(&self, name: &str) -> bool {
-        self.bans.get(name).is_some_and(|ban| ban.out)
+        self.halted || self.shared.contains(name) || self.bans.get(name).is_some_and(|ban| ban.out)
+    }
+
+    /// Whether a list has ever named it, as far as that is remembered.
+    pub fn knows(&self, name: &str) -> bool {
+        self.names.contains_key(name)
+    }
+
+    /// Takes what is out at all brokers. Gives what the planner is to be told.
+    pub fn share(&mut self, now: Time, shared: BTreeSet<String>) -> Vec<Member> {
+        let before = self.states(now);
+        self.shared = shared;
+        self.changed(now, &before)
+    }
+
+    /// Nothing may be sent to any node now, or it may again. Gives what the planner is to be told.
+    pub fn halt(&mut self, now: Time, halted: bool) -> Vec<Member> {
+        let before = self.states(now);
+        self.halted = halted;
+        self.changed(now, &before)
+    }
+
+    fn states(&self, now: Time) -> BTreeMap<NodeId, NodeState> {
+        self.nodes.iter().map(|(id, listed)| (*id, self.laid_over(now, listed).entry.state)).collect()
+    }
+
+    fn changed(&self, now: Time, before: &BTreeMap<NodeId, NodeState>) -> Vec<Member> {
+        let after = self.nodes.values().map(|listed| self.laid_over(now, listed));
+        after.filter(|m| before.get(&m.entry.node) != Some(&m.entry.state)).collect()
     }
 
     fn is_left(&self, now: Time, entry: &NodeEntry) -> bool {
@@ -137,7 +169,7 @@
     }
 
     fn take(&mut self, now: Time, ban: Ban) -> Vec<Member> {
-        let (before, node) = (self.is_out(&ban.name), ban.node);
+        let (before, node) = (self.bans.get(&ban.name).is_some_and(|b| b.out), ban.node);
         if ban.out == before && before {
             return Vec::new();
         }
@@ -194,6 +226,20 @@
         listed(name, node, NodeState::Up, None)
     }
 
+    /// Guards against a node that is taken out everywhere and served here, and one put back while it is out.
+    #[test]
+    fn what_is_out_at_all_brokers_is_laid_over_lists_and_ends_with_the_view() {
+        let mut u = Upkeep::default();
+        u.list(0, ListKind::Full, vec![up("a", 1), up("b", 2)]);
+        assert_eq!(states(&u.share(1, BTreeSet::from(["a".into(), "c".into()]))), [(1, NodeState::Draining)]);
+        assert_eq!(states(&u.list(2, ListKind::Changes, vec![up("c", 3)])), [(3, NodeState::Draining)]);
+        assert_eq!(states(&u.halt(3, true)), [(2, NodeState::Draining)]);
+        assert!(!u.is_usable() && u.halt(4, true).is_empty());
+        assert_eq!(states(&u.share(5, BTreeSet::new())), []);
+        assert_eq!(u.halt(6, false).len(), 3);
+        assert!(u.is_usable() && u.knows("c") && !u.knows("d"));
+    }
+
     fn states(told: &[Member]) -> Vec<(NodeId, NodeState)> {
         told.iter().map(|m| (m.entry.node, m.entry.state)).collect()
     }
--- a/src/wire/admin/desk.rs
+++ b/src/wire/admin/desk.rs
@@ -4,7 +4,7 @@
 use crate::interface::ListKind;
 use crate::state::phase::{Move, Phase};
 use crate::state::planner::{Input, Member, Wire};
-use crate::state::upkeep::Upkeep;
+use crate::state::upkeep::{Refused, Upkeep};
 use crate::wire::clock::Clock;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -18,6 +18,14 @@
 /// Asks that what is to outlive this process be written down; told when it is, and whether that worked.
 pub type Keep = oneshot::Sender<bool>;
 
+/// What calls need of the cluster.
+pub trait Cluster {
+    /// Who belongs, as a line of JSON; empty where this broker takes no part any more.
+    fn members(&self) -> String;
+    /// Takes a node out everywhere, or puts it back. Told once that is agreed on, with the milliseconds until it holds.
+    fn drain(&self, name: &str, out: bool) -> oneshot::Receiver<u64>;
+}
+
 /// What the calls act on.
 pub struct Desk<W: Wire> {
     /// The broker's phase.
@@ -28,8 +36,8 @@
     pub planner: UnboundedSender<Input<W>>,
     /// Who writes down what is to outlive this process, if there is a place for it.
     pub keeper: Option<UnboundedSender<Keep>>,
-    /// Says who belongs to the cluster; nothing where there is none.
-    pub members: Option<Box<dyn Fn() -> String>>,
+    /// The cluster, where there is one.
+    pub cluster: Option<Box<dyn Cluster>>,
     /// The time.
     pub clock: Clock,
 }
@@ -66,7 +74,7 @@
     }
 
     fn members(&self) -> Result<String, String> {
-        let said = self.members.as_ref().map(|members| members()).ok_or("no cluster")?;
+        let said = self.cluster.as_ref().map(|c| c.members()).ok_or("no cluster")?;
         Some(said).filter(|s| !s.is_empty()).ok_or_else(|| "takes no part in the cluster".to_string())
     }
 
@@ -81,6 +89,15 @@
 
     /// Answers once the scheduler knows and what was held for the node cannot go there any more.
     async fn node(&self, name: &str, out: bool) -> Result<String, String> {
+        if let Some(cluster) = &self.cluster {
+            if !self.upkeep.borrow().knows(name) {
+                return Err(Refused::NeverListed.to_string());
+            }
+            let agreed = tokio::time::timeout(SOON, cluster.drain(name, out)).await;
+            let within = agreed.ok().and_then(Result::ok).ok_or("not agreed on")?;
+            let word = if out { "out" } else { "in use" };
+            return Ok(format!("{word}, everywhere within {within} ms"));
+        }
         let told = self.upkeep.borrow_mut().call(self.clock.now(), name, out).map_err(|e| e.to_string())?;
         let reached = tell(&self.planner, told);
         let kept = self.keeper.as_ref().map(|keeper| {
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -7,8 +7,10 @@
 use crate::state::room::{Part, Room};
 use crate::wire::clock::Clock;
 use bytes::BytesMut;
+use std::cell::Cell;
 use std::future::Future;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
@@ -119,6 +121,9 @@
     }
 }
 
+/// Until when anything may be written to nodes: the end of this broker's lease, or for good where it needs none.
+pub type Permit = Rc<Cell<Time>>;
+
 /// Where a link connects to and whom it reports to.
 pub struct LinkTask<W: Wire, X> {
     /// Its number.
@@ -137,6 +142,8 @@
     pub clock: Clock,
     /// Room for replies that are not whole yet.
     pub room: Room,
+    /// Until when anything may be written.
+    pub permit: Permit,
 }
 
 impl<W: Wire, X: Exchange<W>> LinkTask<W, X> {
@@ -231,6 +238,10 @@
                     if let Err(e) = ready {
                         return Some(e.to_string());
                     }
+                    // Here, and nowhere before: what is not handed to the socket has not been sent.
+                    if self.clock.now() >= self.permit.get() {
+                        return Some("no lease".to_string());
+                    }
                     let outbox = self.exchange.outbox();
                     match stream.try_write_vectored(&outbox.slices()) {
                         Ok(n) => outbox.wrote(n),
