Refuse another broker's store at the start, and try the hard cases of membership

Need: a copied folder must not vote under two names; the issue's hard cases must be shown. The store names its owner. Simulated: links that flap every 300 ms and a clock that jumps 20 s move no view; half of the brokers asleep for 20 s, three of five voters gone and back (one without its disk), a full disk at each voter in turn, and words of a former life that come 9 to 12 s late end in one view, with nothing split.

--- a/crates/lab/src/simulated.rs
+++ b/crates/lab/src/simulated.rs
@@ -55,6 +55,8 @@
     pub slow: Time,
     /// Dies after so many more things done: in the middle of a turn.
     pub dies_after: Option<usize>,
+    /// Its clock is so much ahead of the others'.
+    pub ahead: Time,
     /// Its disk takes nothing more.
     pub full: bool,
     /// Packets sent, and their bytes as encoded.
@@ -232,12 +234,13 @@
         let (set, life) = (self.settings(host), self.chance.random());
         let now = self.now;
         let h = &mut self.hosts[host];
+        let own = now + h.ahead;
         h.starts += 1;
         h.seen = 0;
         h.paused = 0;
         h.dies_after = None;
         h.waiting.clear();
-        match Node::new(now, set, life, h.kept.as_deref()) {
+        match Node::new(own, set, life, h.kept.as_deref()) {
             Ok(node) => h.node = Some(node),
             Err(error) => {
                 self.history.broken.push(Broken(now, format!("{} does not start: {error}", name(host))))
@@ -306,7 +309,8 @@
             }
             return;
         }
-        match catch_unwind(AssertUnwindSafe(|| node.receive(self.now, packet))) {
+        let own = self.now + h.ahead;
+        match catch_unwind(AssertUnwindSafe(|| node.receive(own, packet))) {
             Ok(()) => self.act(host),
             Err(_) => self.ends(host, "panic"),
         }
@@ -345,9 +349,10 @@
     /// Does what a broker wants, in its order; it may die in the middle.
     fn act(&mut self, host: usize) {
         let now = self.now;
+        let own = now + self.hosts[host].ahead;
         let Some(node) = &mut self.hosts[host].node else { return };
         // The consensus panics where a voter has forgotten what it promised: that process is over.
-        let wants = match catch_unwind(AssertUnwindSafe(|| node.turn(now))) {
+        let wants = match catch_unwind(AssertUnwindSafe(|| node.turn(own))) {
             Ok(Ok(wants)) => wants,
             Ok(Err(error)) => return self.ends(host, &error.to_string()),
             Err(_) => return self.ends(host, "panic"),
@@ -374,7 +379,7 @@
             }
         }
         let Some(node) = &self.hosts[host].node else { return };
-        if node.lease().saturating_add(self.forged) > now {
+        if node.lease().saturating_add(self.forged) > own {
             self.history.sends(now, &name(host), node.in_force());
         }
     }
--- a/src/run/cluster.rs
+++ b/src/run/cluster.rs
@@ -5,7 +5,7 @@
 use crate::state::membership::council::CouncilError;
 use crate::state::membership::lease::over_after;
 use crate::state::membership::node::{Node, Output, Phase};
-use crate::state::membership::{Name, Settings, View, MOST_DRAINS, MOST_NAME};
+use crate::state::membership::{Settings, View, MOST_DRAINS, MOST_NAME};
 use crate::wire::admin::desk;
 use crate::wire::clock::Clock;
 use crate::wire::cluster::{decode, encode, MOST_DATAGRAM};
@@ -32,6 +32,8 @@
 /// What is kept: one value.
 const TABLE: TableDefinition<&str, &[u8]> = TableDefinition::new("membership");
 const KEY: &str = "voter";
+/// Whose store it is.
+const OWNER: &str = "owner";
 
 /// The file that `$CLAYWINCH_CLUSTER` names.
 #[derive(Debug, Clone, Deserialize)]
@@ -172,6 +174,9 @@
     /// Another process has it open.
     #[error("another process holds it")]
     Held,
+    /// It is that of another broker, or of another cluster.
+    #[error("it is that of {0}")]
+    Other(String),
     /// It is damaged, or cannot be read or written.
     #[error("{0}")]
     Store(Box<redb::Error>),
@@ -195,25 +200,51 @@
         Ok(Store(Database::create(path).map_err(redb::Error::from)?))
     }
 
+    /// Notes whose store it is, in a new one. One of another owner is refused.
+    pub fn owned_by(self, owner: &str) -> Result<Store, StoreError> {
+        match self.get(OWNER)? {
+            None => self.put(OWNER, owner.as_bytes())?,
+            Some(other) if other != owner.as_bytes() => {
+                return Err(StoreError::Other(String::from_utf8_lossy(&other).to_string()));
+            }
+            Some(_) => {}
+        }
+        Ok(self)
+    }
+
     /// What was kept last.
     pub fn load(&self) -> Result<Option<Vec<u8>>, StoreError> {
+        self.get(KEY)
+    }
+
+    /// Keeps a value in the place of the last.
+    pub fn keep(&self, value: &[u8]) -> Result<(), StoreError> {
+        self.put(KEY, value)
+    }
+
+    fn get(&self, key: &str) -> Result<Option<Vec<u8>>, StoreError> {
         let read = self.0.begin_read().map_err(redb::Error::from)?;
         let table = match read.open_table(TABLE) {
             Ok(table) => table,
             Err(redb::TableError::TableDoesNotExist(_)) => return Ok(None),
             Err(error) => return Err(redb::Error::from(error).into()),
         };
-        Ok(table.get(KEY).map_err(redb::Error::from)?.map(|v| v.value().to_vec()))
+        Ok(table.get(key).map_err(redb::Error::from)?.map(|v| v.value().to_vec()))
     }
 
-    /// Keeps a value in the place of the last.
-    pub fn keep(&self, value: &[u8]) -> Result<(), StoreError> {
+    fn put(&self, key: &str, value: &[u8]) -> Result<(), StoreError> {
         let write = self.0.begin_write().map_err(redb::Error::from)?;
-        write.open_table(TABLE).map_err(redb::Error::from)?.insert(KEY, value).map_err(redb::Error::from)?;
+        write.open_table(TABLE).map_err(redb::Error::from)?.insert(key, value).map_err(redb::Error::from)?;
         Ok(write.commit().map_err(redb::Error::from)?)
     }
 }
 
+/// The store of a file's broker.
+fn open(file: &File) -> Result<Store, StoreError> {
+    let path = file.store.clone().unwrap_or_default();
+    Store::open(&path)?.owned_by(&format!("{}/{}", file.cluster, file.name))
+}
+
 /// Why this broker takes no further part.
 #[derive(Debug, thiserror::Error)]
 enum Over {
@@ -221,8 +252,6 @@
     Council(#[from] CouncilError),
     #[error("store: {0}")]
     Store(#[from] StoreError),
-    #[error("store: it is that of {0}")]
-    Other(Name),
 }
 
 /// What can be asked of the part that runs.
@@ -273,10 +302,19 @@
     pub async fn start(file: File, seed: u64, clock: Clock, hooks: Hooks) -> Result<Cluster, StartError> {
         let socket =
             UdpSocket::bind(file.listen).await.map_err(io(format!("listening on {}", file.listen)))?;
+        // One that another process holds is waited for.
+        let store = match open(&file) {
+            Ok(store) => Some(store),
+            Err(StoreError::Held) => None,
+            Err(error) => {
+                let path = file.store.unwrap_or_default().display().to_string();
+                return Err(StartError::Store { path, error });
+            }
+        };
         let (orders, inbox) = mpsc::unbounded_channel();
         let (status, watched) = watch::channel(String::new());
         tracing::info!(name = file.name, listen = %file.listen, advertise = %file.advertise, "cluster on");
-        let task = Task { file, seed, clock, hooks, socket, status, inbox, garbage: 0 };
+        let task = Task { file, store, seed, clock, hooks, socket, status, inbox, garbage: 0 };
         tokio::task::spawn_local(task.run());
         Ok(Cluster { orders, status: watched })
     }
@@ -296,6 +334,7 @@
 
 struct Task {
     file: File,
+    store: Option<Store>,
     seed: u64,
     clock: Clock,
     hooks: Hooks,
@@ -344,11 +383,11 @@
 
     /// The store. While a former process of this broker holds it, that one is the member.
     async fn open(&self) -> Result<Store, StoreError> {
-        let path = self.file.store.clone().unwrap_or_default();
         let mut said = false;
         loop {
-            match Store::open(&path) {
+            match open(&self.file) {
                 Err(StoreError::Held) => {
+                    let path = self.file.store.clone().unwrap_or_default();
                     if !std::mem::replace(&mut said, true) {
                         tracing::info!(path = %path.display(), "another process of this broker is the member");
                     }
@@ -360,12 +399,12 @@
     }
 
     async fn take_part(&mut self) -> Result<(), Over> {
-        let store = self.open().await?;
+        let store = match self.store.take() {
+            Some(store) => store,
+            None => self.open().await?,
+        };
         let kept = store.load()?;
         let mut node = Node::new(self.clock.now(), self.file.settings(), self.seed, kept.as_deref())?;
-        if let Some(other) = node.stranger() {
-            return Err(Over::Other(other));
-        }
         let mut buffer = vec![0; MOST_DATAGRAM];
         let mut leaving: Vec<oneshot::Sender<()>> = Vec::new();
         let mut drains: Vec<(String, bool, oneshot::Sender<u64>)> = Vec::new();
@@ -559,7 +598,11 @@
         drop(store);
         let store = Store::open(&path).expect("opens again");
         assert_eq!(store.load().expect("reads").as_deref(), Some(&b"two"[..]));
+        let store = store.owned_by("c/a").expect("it is new");
         drop(store);
+        let other = Store::open(&path).expect("opens again").owned_by("c/b");
+        assert!(matches!(other, Err(StoreError::Other(owner)) if owner == "c/a"));
+        assert!(Store::open(&path).and_then(|s| s.owned_by("c/a")).is_ok());
         let mut bytes = std::fs::read(&path).expect("a file");
         bytes[..64].fill(0x5a);
         std::fs::write(&path, bytes).expect("written");
--- a/src/run/error.rs
+++ b/src/run/error.rs
@@ -1,5 +1,6 @@
 //! Why a broker does not start, or does not go on.
 
+use super::cluster::StoreError;
 use super::config::ConfigError;
 use crate::interface::SettingsError;
 use crate::state::agreement::AgreementError;
@@ -16,6 +17,14 @@
     /// The agreement with peers.
     #[error(transparent)]
     Agreement(#[from] AgreementError),
+    /// What a voter of a cluster keeps.
+    #[error("{path}: {error}")]
+    Store {
+        /// The file.
+        path: String,
+        /// What is wrong with it.
+        error: StoreError,
+    },
     /// A socket or a signal.
     #[error("{what}: {error}")]
     Io {
--- a/src/state/membership/node.rs
+++ b/src/state/membership/node.rs
@@ -227,13 +227,6 @@
         &self.departed
     }
 
-    /// Whose state was kept, if it is another broker's: a copied folder must not vote under two names.
-    pub fn stranger(&self) -> Option<Name> {
-        let id = self.council.as_ref()?.id();
-        let seat = self.view.seats.iter().find(|s| s.id == id)?;
-        (seat.name != self.set.name).then(|| seat.name.clone())
-    }
-
     /// Comes back after it has left.
     pub fn join(&mut self) {
         match self.phase {
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -196,6 +196,94 @@
     sound(&w);
 }
 
+/// Guards against a view that moves with every turn of a flapping link, and against half of a cluster thrown out by
+/// the half that slept, or a clock that jumps.
+#[test]
+fn flapping_long_sleep_of_half_and_a_clock_that_jumps_end_in_one_view() {
+    let mut w = together(31, 8, 3);
+    let before = w.history.last().unwrap().number;
+    for turn in 0..100 {
+        match turn % 2 {
+            0 => w.cut(&(0..7).collect::<Vec<_>>(), &[7]),
+            _ => w.links.clear(),
+        }
+        w.run(SECOND * 3 / 10);
+    }
+    w.links.clear();
+    for host in [0, 4] {
+        w.hosts[host].ahead += 20 * SECOND;
+        w.run(6 * SECOND);
+    }
+    assert_eq!(w.history.last().unwrap().number, before, "{:?}", w.history.removed);
+    // Half of them, one voter or two among these.
+    for half in [[0, 3, 4, 5], [0, 1, 6, 7]] {
+        half.iter().for_each(|h| w.pause(*h, 20 * SECOND));
+        w.run(40 * SECOND);
+        assert!(w.agree(), "{half:?} {:?}", w.phases());
+    }
+    sound(&w);
+}
+
+/// Guards against a quorum that comes back wrong: three of five voters gone, two back with their disks, one without.
+#[test]
+fn three_of_five_voters_killed_and_back_two_with_their_disks() {
+    let mut w = together(33, 7, 5);
+    let before = w.history.last().unwrap().number;
+    [0, 1, 2].into_iter().for_each(|h| w.kill(h));
+    w.run(20 * SECOND);
+    assert_eq!(w.history.last().unwrap().number, before, "two of five decide nothing");
+    w.hosts[2].kept = None;
+    [0, 1, 2].into_iter().for_each(|h| w.start(h));
+    w.run(15 * SECOND);
+    assert!(w.agree(), "{:?}", w.phases());
+    w.run(60 * SECOND);
+    assert_eq!(w.history.last().unwrap().seats.len(), 5);
+    sound(&w);
+}
+
+/// Guards against a write that failed and is taken for done: a voter with a full disk takes no further part.
+#[test]
+fn a_voter_with_a_full_disk_is_out_until_it_has_room() {
+    for victim in [0, 1, 2] {
+        let mut w = together(35, 5, 3);
+        w.hosts[victim].full = true;
+        let now = w.now;
+        w.hosts[4].node.as_mut().unwrap().drain(now, "node".into(), true, 5 * SECOND);
+        w.run(10 * SECOND);
+        assert!(w.hosts[victim].node.is_none(), "it has ended its part");
+        assert!(w.agree(), "{victim} {:?}", w.phases());
+        assert!(w.history.last().unwrap().drains.contains("node"));
+        w.hosts[victim].full = false;
+        w.start(victim);
+        w.run(5 * SECOND);
+        assert!(w.agree(), "{victim} {:?}", w.phases());
+        sound(&w);
+    }
+}
+
+/// Guards against words of a former life that throw out the one that followed it, or take its place.
+#[test]
+fn words_of_a_former_life_that_come_late_change_nothing() {
+    let mut w = together(37, 5, 3);
+    let late = Link { loss: 0.0, delay: (9 * SECOND, 12 * SECOND), twice: 0.5 };
+    w.links.extend((0..4).map(|h| ((4, h), late)));
+    // It asks to go, and accuses all others whom it does not hear; then it dies, and the next life comes at once.
+    w.cut(&(0..4).collect::<Vec<_>>(), &[4]);
+    w.run(SECOND);
+    w.hosts[4].node.as_mut().unwrap().leave();
+    w.run(SECOND);
+    w.kill(4);
+    w.links.clear();
+    w.start(4);
+    w.run(3 * SECOND);
+    assert!(w.agree(), "{:?}", w.phases());
+    let view = w.history.last().unwrap().number;
+    w.run(20 * SECOND);
+    assert_eq!(w.history.last().unwrap().number, view, "{:?}", w.history.removed);
+    assert!(w.agree());
+    sound(&w);
+}
+
 /// A schedule of faults drawn from the seed; afterwards all is mended, and all must agree again.
 fn schedule(seed: u64) -> World {
     let mut w = World::new(seed, 7, 3);
