Add models of three ways to find out who is gone, to be set beside ours

Need: the design note weighs SWIM, Lifeguard and phi-accrual in words; figures are to stand beside them. Nothing has been played with it yet.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod broker;
 pub mod chart;
 pub mod client;
+pub mod detectors;
 pub mod disk;
 pub mod experiment;
 pub mod load;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 
 use clap::{Parser, Subcommand};
+use claywinch_lab::detectors::compare;
 use claywinch_lab::disk::{Disk, Manner};
 use claywinch_lab::experiment::{Arm, Experiment, ExperimentError};
 use claywinch_lab::load::{Class, Kind};
@@ -41,6 +42,15 @@
         #[arg(long, default_value_t = 60.0)]
         seconds: f64,
     },
+    /// Ways to find out who is gone, side by side in simulation.
+    Membership {
+        /// Trials of each.
+        #[arg(long, default_value_t = 20)]
+        trials: u64,
+        /// The folder that results are kept in.
+        #[arg(long, default_value = "docs/results/membership")]
+        results: PathBuf,
+    },
     /// Five brokers of a cluster, one of which is cut off: what each of them thinks.
     ClusterDemo,
     /// Plays schedules of faults among the brokers of a cluster, and prints a timeline of what broke.
@@ -182,6 +192,8 @@
             }
             Ok(())
         }
+        What::Membership { trials, results } => compare(&results, trials)
+            .map_err(|reason| ExperimentError::Content(results.display().to_string(), reason)),
         What::ClusterDemo => cluster_demo(&arguments.broker).map_err(io("the rig".to_string())),
         What::Cluster { file } => {
             let text = std::fs::read_to_string(&file).map_err(io(file.display().to_string()))?;
