Stop sending when something may count as told that the list lacks

It was noticed at 9.221 ('list of nodes lost reason="silent"': WAIT_MS 8000 + PATIENCE 1200 in wire/watch.rs), asked anew only after the planner's wait (LIST_RETRY, doubled by 503s of the start), and the list came at 10.391 ('kind=Changes revision=3 nodes=6'). What was missed counted as told at 10.021, so sends had to end at 10.32. Request 181 came at 10.385 ('taken id=181'), was decided in the same turn and sent at 10.386 ('attempt id=181 node= waited=45290', ended 10.431). On n3 and n5 the list came at 11.459 and 11.113. Ruled out: the link (sent in the millisecond of the decision), the version (the new call brought revision 3 whole), the scheduler's rule on drains (nothing went there after the list).

When the account runs out, all nodes are held as draining and links begin nothing new; a link told that its node takes nothing more gives back what has not begun. Lists that are pushed are watched at all now: the scheduler wished for a watch only where lists are asked for.

--- a/src/run/cluster.rs
+++ b/src/run/cluster.rs
@@ -479,7 +479,7 @@
             self.show(&node);
             let lapsed = self.clock.now() >= node.lease();
             if bound {
-                self.hooks.permit.set(node.lease());
+                self.hooks.permit.lease.set(node.lease());
                 if std::mem::replace(&mut halted, lapsed) != lapsed {
                     tracing::info!(view = node.in_force(), halted, "lease");
                     (self.hooks.halt)(halted);
--- a/src/run/fleet.rs
+++ b/src/run/fleet.rs
@@ -33,15 +33,13 @@
     pub ending: UnboundedReceiver<oneshot::Sender<()>>,
     /// Where links report to.
     pub own: UnboundedSender<Input<W>>,
-    /// Where wishes to watch the list go.
-    pub watch: UnboundedSender<()>,
     /// The time.
     pub clock: Clock,
     /// How long a link's connection may take to come up.
     pub connect_timeout: Rc<Cell<Duration>>,
     /// Room for replies that are not whole yet.
     pub room: Room,
-    /// Until when anything may be written to nodes.
+    /// Until when what may be written to nodes.
     pub permit: Permit,
 }
 
@@ -99,7 +97,7 @@
                         tokio::task::spawn_local(task.run());
                     }
                     Effect::Send(link, tag, until, request) => {
-                        let order = Order { tag, until, request };
+                        let order = Order::Send(tag, until, request);
                         let sent = links.get(&link).is_some_and(|sender| sender.send(order).is_ok());
                         if !sent {
                             // The link has ended, and says so in the next turn; this was never written.
@@ -107,6 +105,10 @@
                             let _ = self.own.send(Input::Ended(link, tag, end));
                         }
                     }
+                    Effect::Bar(link) => {
+                        // A link that has ended says so by itself.
+                        let _ = links.get(&link).map(|sender| sender.send(Order::Bar));
+                    }
                     Effect::Close(link) => {
                         links.remove(&link);
                     }
@@ -114,9 +116,6 @@
                     Effect::Probe(node, _) => {
                         let _ = self.own.send(Input::Probed(node, Ending::NotSent, None));
                     }
-                    Effect::Subscribe => {
-                        let _ = self.watch.send(());
-                    }
                 }
             }
             if self.stage.is_stopped() {
--- a/src/run/nbd.rs
+++ b/src/run/nbd.rs
@@ -101,7 +101,6 @@
     let pool = PoolLimits { links: place.limits.links, links_per_node: 16, terms: bounds.links() };
     let planner = Planner::<Nbd>::new(deploy.settings(), place.seed, place.clock.now(), pool)?;
     let (own, inputs) = unbounded_channel();
-    let (wish, _) = unbounded_channel();
     let exports = Exports::default();
     let mut applied = Applied {
         exports: exports.clone(),
@@ -120,7 +119,6 @@
         ending: ended,
         inputs,
         own: own.clone(),
-        watch: wish,
         clock: place.clock,
         connect_timeout: Rc::new(Cell::new(bounds.connect())),
         room: Room::new(place.limits.room),
--- a/src/run/settings.rs
+++ b/src/run/settings.rs
@@ -3,6 +3,7 @@
 
 use crate::interface::{Budget, Class, Effect, Group, Limit, Plan, Settings, Time};
 use crate::state::pool::LinkTerms;
+use crate::state::told;
 use serde_json::Value;
 use std::time::Duration;
 
@@ -26,6 +27,8 @@
     pub shards: Option<u32>,
     /// What the sockets of a real broker are bound by.
     pub bounds: Bounds,
+    /// When changes of the list count as told, and how long a node that leaves may still be sent to.
+    pub lists: told::Terms,
 }
 
 /// Bounds on connections. The scheduler knows of none; the simulator keeps them by itself.
@@ -203,6 +206,8 @@
     if rules.numbered("start_capacity")? > 1.0 {
         return rules.need("start_capacity")?.bad("at most 1, as a part of the whole");
     }
+    above(&rules, "ask_every_s", 0.0, "over 0")?;
+    above(&rules, "stop_sending_within_s", -f64::MIN_POSITIVE, "0 or more")?;
     above(&rules, "cold_s", -f64::MIN_POSITIVE, "0 or more")?;
     above(&rules, "tip_after_s", -f64::MIN_POSITIVE, "0 or more")?;
     above(&bounds, "conn_idle_s", 0.0, "over 0")?;
@@ -248,7 +253,19 @@
             span: rules.time("ratio_span_s")?,
         }),
     };
+    let pushed = match mode.text()? {
+        "on_request" => false,
+        "pushed" => true,
+        _ => return mode.bad("pushed or on_request"),
+    };
+    let usual = told::Terms::default();
+    let lists = told::Terms {
+        pushed,
+        ask_every: rules.find("ask_every_s").map_or(Ok(usual.ask_every), |v| v.number().map(micros))?,
+        grace: micros(rules.number_or_0("stop_sending_within_s")?),
+    };
     Ok(Start {
+        lists,
         classes: class_names,
         plans: named(&plans)?,
         zones: names(&at.need("localities")?)?,
@@ -270,11 +287,7 @@
             spare_worth: extra.numbered("spare_worth")?,
             meter_period: micros(extra.number_or_0("metering_s")?),
             tells_elsewhere: extra.flag_or_false("tells_elsewhere")?,
-            list_on_request: match mode.text()? {
-                "on_request" => true,
-                "pushed" => false,
-                _ => return mode.bad("pushed or on_request"),
-            },
+            list_on_request: !pushed,
             second_copies: bounds.need("second_copies")?.flag()?,
             cancel: bounds.need("cancel")?.flag()?,
             probes: bounds.need("probes")?.flag()?,
--- a/src/run/start.rs
+++ b/src/run/start.rs
@@ -19,12 +19,14 @@
 use crate::state::room::Room;
 use crate::state::seats::Seats;
 use crate::state::stage::Through;
+use crate::state::told::{Terms, Told};
 use crate::state::upkeep::Upkeep;
 use crate::wire::admin;
 use crate::wire::admin::desk::{step, tell, Desk};
 use crate::wire::admin::serve::MOST_CALLERS;
 use crate::wire::clock::{Clock, Pulse};
 use crate::wire::discovery::NodeNumbers;
+use crate::wire::link::{Limits as Written, Permit};
 use crate::wire::resp::client::Node;
 use crate::wire::resp::server::{Client, Common};
 use crate::wire::resp::Resp;
@@ -65,6 +67,7 @@
     zones: Rc<RefCell<Vec<String>>>,
     connect_timeout: Rc<Cell<Duration>>,
     discovery: watch::Sender<String>,
+    lists: Rc<Cell<Terms>>,
 }
 
 impl Follow {
@@ -100,11 +103,12 @@
 
     /// Takes what was read whole, all at once.
     fn take(&mut self, new: Reread) -> Result<LinkTerms, String> {
-        let bounds = new.start.bounds;
+        let (bounds, lists) = (new.start.bounds, new.start.lists);
         let terms = self.tuning.take(new.start)?;
         *self.common.terms.borrow_mut() = Rc::new(terms);
         *self.zones.borrow_mut() = self.tuning.zones();
         self.connect_timeout.set(bounds.connect());
+        self.lists.set(lists);
         self.text = new.text;
         self.tell(bounds.links());
         let classes = self.live();
@@ -149,6 +153,7 @@
     let share = move |descriptors| Limits::share(descriptors, deployed.memory_mb, nbd_on, callers);
     let (limits, nbd_limits) = share(deployed.sockets);
     let bounds = config.start.bounds;
+    let lists = Rc::new(Cell::new(config.start.lists));
     let (phase, phases) = watch::channel(Phase::default());
     let phase = Rc::new(phase);
     let seats = Seats::default();
@@ -174,11 +179,10 @@
     let cold = settings.cold_time + settings.fall_time;
     let planner = Planner::<Resp>::new(settings, config.seed, clock.now(), pool)?;
     let (own, inputs) = unbounded_channel();
-    let (wish, wishes) = unbounded_channel();
     let mut numbers = NodeNumbers::default();
     let mut upkeep = Upkeep::default();
     let revision = Rc::new(Cell::new(config.known.as_ref().map_or(0, |known| known.revision)));
-    // The list last had comes first of all, before any request: it also makes the planner ask for news.
+    // The list last had comes first of all, before any request.
     let mut known = config.known.map(|known| known.into_listed(&mut numbers, &zones.borrow()));
     if let Some(left) = left {
         tracing::info!(
@@ -206,7 +210,8 @@
     let windows = Room::new(limits.windows);
     // A broker of a cluster sends nothing before its first lease.
     let bound = config.cluster.as_ref().is_some_and(|file| file.without_lease == WithoutLease::Stop);
-    let permit = Rc::new(Cell::new(if bound { Time::MIN } else { Time::MAX }));
+    let lease = Cell::new(if bound { Time::MIN } else { Time::MAX });
+    let permit: Permit = Rc::new(Written { lease, list: Cell::new(Time::MAX) });
     let fleet = Fleet {
         name: "resp",
         planner,
@@ -214,7 +219,6 @@
         ending: unbounded_channel().1,
         inputs,
         own: own.clone(),
-        watch: wish,
         clock,
         connect_timeout: connect_timeout.clone(),
         room: room.clone(),
@@ -232,6 +236,7 @@
         zones: zones.clone(),
         connect_timeout,
         discovery: moved,
+        lists: lists.clone(),
     };
     tokio::task::spawn_local(follow.run(hangup));
     let watcher = WatchTask {
@@ -239,9 +244,11 @@
         revision: revision.clone(),
         numbers,
         zones,
-        wishes,
         planner: own.clone(),
         upkeep: upkeep.clone(),
+        told: Told::new(clock.now(), lists.get(), beside, config.seed),
+        terms: lists,
+        permit: permit.clone(),
         clock,
     };
     tokio::task::spawn_local(watcher.run());
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -16,4 +16,5 @@
 pub mod scrub;
 pub mod seats;
 pub mod stage;
+pub mod told;
 pub mod upkeep;
--- a/src/state/planner.rs
+++ b/src/state/planner.rs
@@ -134,12 +134,12 @@
     Open(LinkId, NodeId, Lane, String),
     /// Send an attempt on a link; it is worth nothing after the stated time.
     Send(LinkId, Tag, Time, W::Request),
+    /// A link's node takes nothing more: what has not begun there is to be given back.
+    Bar(LinkId),
     /// Close a link without a word.
     Close(LinkId),
     /// Probe a node.
     Probe(NodeId, String),
-    /// Watch the list of nodes.
-    Subscribe,
 }
 
 /// What the deadlines of a planner stand for.
@@ -385,6 +385,9 @@
                         for link in self.pool.coming_up_of(member.entry.node) {
                             self.break_link(now, link, Ending::Unreachable, effects);
                         }
+                        // Nor what waits behind something else, or for the end of a handshake.
+                        let busy = self.pool.busy_of(member.entry.node).into_iter();
+                        effects.extend(busy.map(Effect::Bar));
                     }
                     match member.entry.state {
                         NodeState::Gone => drop(self.addresses.remove(&member.entry.node)),
@@ -488,7 +491,8 @@
                 None => self.events.push(Event::Probed(node, Ending::Unreachable, None)),
             },
             Action::Timer(after) => self.deadlines.insert(now + after, Deadline::Scheduler),
-            Action::Subscribe => effects.push(Effect::Subscribe),
+            // Whoever drives this planner keeps the list up to date by an account of its own (`state/told.rs`).
+            Action::Subscribe => {}
             Action::Log(text) => tracing::info!("{text}"),
         }
     }
--- a/src/state/pool.rs
+++ b/src/state/pool.rs
@@ -192,14 +192,22 @@
 
     /// The idle links of a node that takes no more work.
     pub fn idle_of(&self, node: NodeId) -> Vec<LinkId> {
-        let lanes = self.by_node.range((node, Lane::MIN)..=(node, Lane::MAX));
-        lanes.flat_map(|(_, ids)| ids).copied().filter(|id| self.links[id].out == 0).collect()
+        self.of(node, |link| link.out == 0)
     }
 
     /// The links of a node whose connections are not there yet.
     pub fn coming_up_of(&self, node: NodeId) -> Vec<LinkId> {
+        self.of(node, |link| !link.up)
+    }
+
+    /// The links of a node that attempts are on.
+    pub fn busy_of(&self, node: NodeId) -> Vec<LinkId> {
+        self.of(node, |link| link.out > 0)
+    }
+
+    fn of(&self, node: NodeId, fits: impl Fn(&Link) -> bool) -> Vec<LinkId> {
         let lanes = self.by_node.range((node, Lane::MIN)..=(node, Lane::MAX));
-        lanes.flat_map(|(_, ids)| ids).copied().filter(|id| !self.links[id].up).collect()
+        lanes.flat_map(|(_, ids)| ids).copied().filter(|id| fits(&self.links[id])).collect()
     }
 
     /// Takes new terms.
--- a/src/state/upkeep.rs
+++ b/src/state/upkeep.rs
@@ -59,8 +59,10 @@
     bans: BTreeMap<String, Ban>,
     /// Names that are out at all brokers of the cluster, as its view says; replaced as a whole.
     shared: BTreeSet<String>,
-    /// This broker may send to no node now.
+    /// This broker may send to no node now: it has no lease.
     halted: bool,
+    /// Nor may it while something may count as told that its list lacks.
+    outdated: bool,
     /// How long after its start a node is left to the process that takes over, if one does.
     left_cold: Option<Time>,
 }
@@ -108,7 +110,10 @@
     }
 
     fn is_out(&self, name: &str) -> bool {
-        self.halted || self.shared.contains(name) || self.bans.get(name).is_some_and(|ban| ban.out)
+        self.halted
+            || self.outdated
+            || self.shared.contains(name)
+            || self.bans.get(name).is_some_and(|ban| ban.out)
     }
 
     /// Whether a list has ever named it, as far as that is remembered.
@@ -130,6 +135,13 @@
         self.changed(now, &before)
     }
 
+    /// The list that is held may lack what counts as told, or it does no longer. Gives what the planner is to be told.
+    pub fn outdate(&mut self, now: Time, outdated: bool) -> Vec<Member> {
+        let before = self.states(now);
+        self.outdated = outdated;
+        self.changed(now, &before)
+    }
+
     fn states(&self, now: Time) -> BTreeMap<NodeId, NodeState> {
         self.nodes.iter().map(|(id, listed)| (*id, self.laid_over(now, listed).entry.state)).collect()
     }
--- a/src/wire/discovery.rs
+++ b/src/wire/discovery.rs
@@ -133,7 +133,7 @@
 }
 
 /// A call for what is newer than a version, waiting up to `wait` milliseconds for it.
-pub fn watch_call(host: &str, revision: u64, wait_ms: u64) -> String {
+pub fn watch_call(host: &str, revision: u64, wait_ms: Time) -> String {
     format!(
         "GET /v1/servers?index={revision}&wait={wait_ms} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n"
     )
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -98,18 +98,18 @@
     fn stirred(&self) -> Option<Stir> {
         None
     }
+    /// Takes back every request of which no byte has been written, and names it.
+    fn take_back(&mut self) -> Vec<Tag>;
     /// The connection is over: how everything still out has ended.
     fn lost(&mut self) -> Vec<Ended<W::Reply>>;
 }
 
 /// An order to a link.
-pub struct Order<W: Wire> {
-    /// The attempt.
-    pub tag: Tag,
-    /// When its answer is no longer waited for.
-    pub until: Time,
-    /// What to send.
-    pub request: W::Request,
+pub enum Order<W: Wire> {
+    /// Send an attempt, whose answer is no longer waited for from then on.
+    Send(Tag, Time, W::Request),
+    /// The node takes nothing more: what has not begun is to be given back.
+    Bar,
 }
 
 /// How an attempt ended whose request lies before `position` in what was to be written: one whose last
@@ -121,8 +121,17 @@
     }
 }
 
-/// Until when anything may be written to nodes: the end of this broker's lease, or for good where it needs none.
-pub type Permit = Rc<Cell<Time>>;
+/// Until when what may be written to nodes.
+#[derive(Debug)]
+pub struct Limits {
+    /// Anything: the end of this broker's lease, or for good where it needs none.
+    pub lease: Cell<Time>,
+    /// The first byte of a request: as long as the list of nodes holds.
+    pub list: Cell<Time>,
+}
+
+/// The same, as links and those who set it share it.
+pub type Permit = Rc<Limits>;
 
 /// Where a link connects to and whom it reports to.
 pub struct LinkTask<W: Wire, X> {
@@ -168,7 +177,9 @@
         // Orders that crossed the end were never written.
         self.orders.close();
         while let Ok(order) = self.orders.try_recv() {
-            let _ = self.planner.send(Input::Ended(self.id, order.tag, End::bare(Ending::Unreachable)));
+            if let Order::Send(tag, ..) = order {
+                let _ = self.planner.send(Input::Ended(self.id, tag, End::bare(Ending::Unreachable)));
+            }
         }
         for (tag, end) in self.exchange.lost() {
             let _ = self.planner.send(Input::Ended(self.id, tag, end));
@@ -197,8 +208,21 @@
     }
 
     fn take(&mut self, order: Order<W>) {
-        let left = (order.until - self.clock.now()).max(1000);
-        self.exchange.send(order.tag, left, order.request);
+        match order {
+            Order::Send(tag, until, request) => {
+                let left = (until - self.clock.now()).max(1000);
+                self.exchange.send(tag, left, request);
+            }
+            Order::Bar => self.give_back(),
+        }
+    }
+
+    /// Gives back what has not begun, as never sent.
+    fn give_back(&mut self) {
+        for tag in self.exchange.take_back() {
+            tracing::debug!(link = self.id, id = tag.0, address = self.address, "given back");
+            let _ = self.planner.send(Input::Ended(self.id, tag, End::bare(Ending::NotSent)));
+        }
     }
 
     /// Reads and writes until the connection ends, which gives the reason, or the planner lets go.
@@ -239,9 +263,13 @@
                         return Some(e.to_string());
                     }
                     // Here, and nowhere before: what is not handed to the socket has not been sent.
-                    if self.clock.now() >= self.permit.get() {
+                    let now = self.clock.now();
+                    if now >= self.permit.lease.get() {
                         return Some("no lease".to_string());
                     }
+                    if now >= self.permit.list.get() {
+                        self.give_back();
+                    }
                     let outbox = self.exchange.outbox();
                     match stream.try_write_vectored(&outbox.slices()) {
                         Ok(n) => outbox.wrote(n),
--- a/src/wire/nbd/client.rs
+++ b/src/wire/nbd/client.rs
@@ -21,7 +21,8 @@
 /// A request that is out.
 struct Out {
     tag: Tag,
-    /// Position behind its last byte.
+    /// Positions of its first byte and behind its last.
+    start: u64,
     end: u64,
     offset: u64,
     /// Bytes that a reply must hold.
@@ -172,12 +173,14 @@
         out.put_u64(cookie);
         out.put_u64(request.offset);
         out.put_u32(request.length);
+        let start = self.outbox.end();
         self.outbox.push(out);
         if let Operation::Write(data) = request.operation {
             self.outbox.push(data);
         }
         let (end, offset) = (self.outbox.end(), request.offset);
-        self.out.insert(cookie, Out { tag, end, offset, expects, parts: Vec::new(), got: 0, error: None });
+        let out = Out { tag, start, end, offset, expects, parts: Vec::new(), got: 0, error: None };
+        self.out.insert(cookie, out);
     }
 
     fn reply(&mut self, read: &mut BytesMut, ended: &mut Vec<Ended<Vec<Part>>>) -> Result<bool, Broken> {
@@ -300,6 +303,18 @@
         Ok(())
     }
 
+    fn take_back(&mut self) -> Vec<Tag> {
+        let waiting: Vec<Tag> = self.waiting.drain(..).map(|(tag, _)| tag).collect();
+        // Cookies are in the order of the writes.
+        let begun = |out: &Out| self.outbox.has_begun(out.start);
+        let first = self.out.iter().find(|(_, out)| !begun(out)).map_or(u64::MAX, |(cookie, _)| *cookie);
+        let back = self.out.split_off(&first);
+        if let Some(first) = back.values().next() {
+            self.outbox.cut(first.start);
+        }
+        back.into_values().map(|out| out.tag).chain(waiting).collect()
+    }
+
     fn lost(&mut self) -> Vec<Ended<Vec<Part>>> {
         let waiting = std::mem::take(&mut self.waiting).into_iter();
         let never = waiting.map(|(tag, _)| (tag, End::bare(Ending::Unreachable)));
--- a/src/wire/outbox.rs
+++ b/src/wire/outbox.rs
@@ -36,6 +36,20 @@
         self.written >= position
     }
 
+    /// Whether any byte behind a position has been written.
+    pub fn has_begun(&self, start: u64) -> bool {
+        self.written > start
+    }
+
+    /// Takes back what was queued from a position on, of which nothing may have been written.
+    pub fn cut(&mut self, start: u64) {
+        debug_assert!(!self.has_begun(start));
+        while self.queued > start.max(self.written) {
+            let Some(last) = self.chunks.pop_back() else { return };
+            self.queued -= last.len() as u64;
+        }
+    }
+
     /// Whether nothing waits.
     pub fn is_empty(&self) -> bool {
         self.chunks.is_empty()
@@ -82,7 +96,14 @@
         assert_eq!(outbox.slices().iter().map(|s| s.len()).collect::<Vec<_>>(), [1, 4]);
         outbox.wrote(1);
         assert!(outbox.is_past(first) && !outbox.is_empty());
-        outbox.wrote(4);
-        assert!(outbox.is_empty());
+        outbox.push(&b"last"[..]);
+        let begun = outbox.end();
+        outbox.push(&b"never"[..]);
+        outbox.push(&b"sent"[..]);
+        assert!(!outbox.has_begun(begun) && !outbox.has_begun(first));
+        outbox.cut(begun);
+        assert_eq!((outbox.end(), outbox.len()), (begun, 8), "whole chunks behind a position go");
+        outbox.wrote(8);
+        assert!(outbox.is_empty() && outbox.has_begun(first));
     }
 }
--- a/src/wire/resp/client.rs
+++ b/src/wire/resp/client.rs
@@ -17,8 +17,8 @@
 #[derive(Debug, Default)]
 pub struct Node {
     outbox: Outbox,
-    /// What is out, in the order of the answers, each with the position behind its last byte.
-    out: VecDeque<(Tag, u64)>,
+    /// What is out, in the order of the answers, each with the positions of its first byte and behind its last.
+    out: VecDeque<(Tag, u64, u64)>,
     /// A body on its way, the last of what is out, and what waits behind it.
     sending: Option<Taker>,
     queue: VecDeque<(Tag, Time, Command)>,
@@ -81,9 +81,10 @@
     }
 
     fn begin(&mut self, tag: Tag, left: Time, request: Command) {
+        let start = self.outbox.end();
         self.sending = request.write(left, &mut self.outbox);
         let end = if self.sending.is_some() { NOWHERE } else { self.outbox.end() };
-        self.out.push_back((tag, end));
+        self.out.push_back((tag, start, end));
     }
 
     /// Passes on what has come of a long reply; true when it has come to its end.
@@ -127,7 +128,7 @@
                 return Ok(());
             }
             if let Some((items, left)) = decode_long(read) {
-                let (tag, sent) = self.out.pop_front().ok_or(Broken("a reply that nothing asked for"))?;
+                let (tag, _, sent) = self.out.pop_front().ok_or(Broken("a reply that nothing asked for"))?;
                 if sent == NOWHERE {
                     return Err(Broken("a reply before the request was whole"));
                 }
@@ -139,7 +140,7 @@
             }
             let Some(value) = decode(read)? else { return Ok(()) };
             let end = ending_of(value)?;
-            let (tag, sent) = self.out.pop_front().ok_or(Broken("a reply that nothing asked for"))?;
+            let (tag, _, sent) = self.out.pop_front().ok_or(Broken("a reply that nothing asked for"))?;
             ended.push((tag, end));
             if sent == NOWHERE {
                 // What is left of the body would be taken for the next command.
@@ -165,7 +166,7 @@
                 (None, Course::Whole) => {
                     self.outbox.push(&b"\r\n"[..]);
                     if let Some(last) = self.out.back_mut() {
-                        last.1 = self.outbox.end();
+                        last.2 = self.outbox.end();
                     }
                     self.sending = None;
                     if let Some((tag, left, request)) = self.queue.pop_front() {
@@ -194,9 +195,21 @@
         either(put, taken)
     }
 
+    fn take_back(&mut self) -> Vec<Tag> {
+        let begun = self.out.iter().take_while(|(_, start, _)| self.outbox.has_begun(*start)).count();
+        let back: Vec<(Tag, u64, u64)> = self.out.drain(begun..).collect();
+        if let Some((_, start, _)) = back.first() {
+            self.outbox.cut(*start);
+            // A body on its way belongs to the last of what was out.
+            self.sending = None;
+        }
+        let queued = self.queue.drain(..).map(|(tag, ..)| tag);
+        back.into_iter().map(|(tag, ..)| tag).chain(queued).collect()
+    }
+
     fn lost(&mut self) -> Vec<Ended<Reply>> {
         let outbox = &self.outbox;
-        let out = self.out.drain(..).map(|(tag, at)| (tag, End::bare(broken_at(outbox, at))));
+        let out = self.out.drain(..).map(|(tag, _, at)| (tag, End::bare(broken_at(outbox, at))));
         let queued = self.queue.drain(..).map(|(tag, ..)| (tag, End::bare(Ending::Unreachable)));
         out.chain(queued).collect()
     }
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -160,13 +160,17 @@
             let call = String::from_utf8_lossy(&read).to_string();
             let index: u64 =
                 call.split("index=").nth(1).and_then(|t| t.split('&').next()?.parse().ok()).unwrap_or(0);
+            let wait: u64 =
+                call.split("wait=").nth(1).and_then(|t| t.split(' ').next()?.parse().ok()).unwrap_or(0);
             read.clear();
             let (state, news) = &*self.0;
-            let mut now = state.lock().expect("the list");
-            while now.0 <= index {
-                now = news.wait(now).expect("the list");
-            }
-            let body = format!(r#"{{"revision":{},"complete":true,"members":[{}]}}"#, now.0, now.1);
+            let now = state.lock().expect("the list");
+            let wait = Duration::from_millis(wait);
+            let (now, _) = news.wait_timeout_while(now, wait, |now| now.0 <= index).expect("the list");
+            let body = match now.0 > index {
+                true => format!(r#"{{"revision":{},"complete":true,"members":[{}]}}"#, now.0, now.1),
+                false => format!(r#"{{"revision":{index},"complete":false,"members":[]}}"#),
+            };
             drop(now);
             let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
             if stream.write_all(answer.as_bytes()).is_err() {
