Let the link say what it has written when its node leaves: a write was sent twice

The planner ended what stood on links 'coming up' of a node that leaves (planner.rs, coming_up_of and break_link with Unreachable: proof that it never ran), while the link had come up, said so in a line behind the list, and written the request.

Change: the planner only tells such links (Bar); they take back what has not begun and say so. Links look at orders before they write.

--- a/src/state/planner.rs
+++ b/src/state/planner.rs
@@ -381,11 +381,8 @@
                             self.pool.remove(now, link, false);
                             effects.push(Effect::Close(link));
                         }
-                        // What waits for a connection would be written after it: nothing new may go there.
-                        for link in self.pool.coming_up_of(member.entry.node) {
-                            self.break_link(now, link, Ending::Unreachable, effects);
-                        }
-                        // Nor what waits behind something else, or for the end of a handshake.
+                        // What waits there, for a connection or behind something else, would be written late: nothing
+                        // new may go there. Only the link knows what it has written by now.
                         let busy = self.pool.busy_of(member.entry.node).into_iter();
                         effects.extend(busy.map(Effect::Bar));
                     }
--- a/src/state/pool.rs
+++ b/src/state/pool.rs
@@ -195,11 +195,6 @@
         self.of(node, |link| link.out == 0)
     }
 
-    /// The links of a node whose connections are not there yet.
-    pub fn coming_up_of(&self, node: NodeId) -> Vec<LinkId> {
-        self.of(node, |link| !link.up)
-    }
-
     /// The links of a node that attempts are on.
     pub fn busy_of(&self, node: NodeId) -> Vec<LinkId> {
         self.of(node, |link| link.out > 0)
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -258,6 +258,11 @@
                         return Some(reason);
                     }
                 }
+                // Then orders: what is withdrawn must not be written first.
+                order = self.orders.recv() => {
+                    let order = order?;
+                    self.take(order);
+                }
                 ready = stream.writable(), if waiting => {
                     if let Err(e) = ready {
                         return Some(e.to_string());
@@ -277,10 +282,6 @@
                         Err(e) => return Some(e.to_string()),
                     }
                 }
-                order = self.orders.recv() => {
-                    let order = order?;
-                    self.take(order);
-                }
             }
         }
     }
--- a/src/wire/watch.rs
+++ b/src/wire/watch.rs
@@ -88,6 +88,7 @@
                 biased;
                 answer = answer(&mut calling) => {
                     calling = None;
+                    tracing::debug!(waited = self.clock.now() - now, ok = answer.is_ok(), "call to discovery");
                     match answer.and_then(|(response, keep)| Ok((self.listing(response)?, keep))) {
                         Ok((listing, keep)) => {
                             kept = keep;
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -6,7 +6,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -121,7 +121,22 @@
 
 /// Discovery: a version and the members as JSON; watches wait for the next version.
 #[derive(Clone, Default)]
-pub struct Discovery(Arc<(Mutex<(u64, String)>, Condvar)>);
+pub struct Discovery(Arc<(Mutex<Listed>, Condvar)>);
+
+/// What discovery knows, and how it behaves.
+#[derive(Default)]
+struct Listed {
+    version: u64,
+    members: String,
+    connections: u64,
+    /// Connections up to this one are silent for good.
+    silent: u64,
+    /// Connections up to this one are reset.
+    reset: u64,
+    /// Calls get 503.
+    refuses: bool,
+    calls: usize,
+}
 
 impl Discovery {
     pub fn start(members: &str) -> (Self, String) {
@@ -139,14 +154,42 @@
         (discovery, address)
     }
 
+    fn change(&self, change: impl FnOnce(&mut Listed)) {
+        change(&mut self.0 .0.lock().expect("the list"));
+        self.0 .1.notify_all();
+    }
+
     pub fn set(&self, members: &str) {
-        let (state, news) = &*self.0;
-        let mut state = state.lock().expect("the list");
-        *state = (state.0 + 1, members.to_string());
-        news.notify_all();
+        self.change(|listed| (listed.version, listed.members) = (listed.version + 1, members.to_string()));
+    }
+
+    /// All connections that there are say nothing any more.
+    pub fn fall_silent(&self) {
+        self.change(|listed| listed.silent = listed.connections);
+    }
+
+    /// All connections that there are end.
+    pub fn reset(&self) {
+        self.change(|listed| listed.reset = listed.connections);
+    }
+
+    /// Turns calls away from now on, or no longer.
+    pub fn refuse(&self, refuses: bool) {
+        self.change(|listed| listed.refuses = refuses);
+    }
+
+    /// Calls that have come.
+    pub fn calls(&self) -> usize {
+        self.0 .0.lock().expect("the list").calls
     }
 
     fn serve(&self, mut stream: TcpStream) {
+        let (state, news) = &*self.0;
+        let mut own = 0;
+        self.change(|listed| {
+            listed.connections += 1;
+            own = listed.connections;
+        });
         let mut read = Vec::new();
         let mut buffer = [0; 1024];
         while let Ok(n) = stream.read(&mut buffer) {
@@ -158,21 +201,32 @@
                 continue;
             }
             let call = String::from_utf8_lossy(&read).to_string();
-            let index: u64 =
-                call.split("index=").nth(1).and_then(|t| t.split('&').next()?.parse().ok()).unwrap_or(0);
-            let wait: u64 =
-                call.split("wait=").nth(1).and_then(|t| t.split(' ').next()?.parse().ok()).unwrap_or(0);
+            let number = |name: &str| -> u64 {
+                let digits = |t: &str| t.chars().take_while(char::is_ascii_digit).collect::<String>();
+                call.split(name).nth(1).and_then(|t| digits(t).parse().ok()).unwrap_or(0)
+            };
+            let (index, wait) = (number("index="), Duration::from_millis(number("wait=")));
             read.clear();
-            let (state, news) = &*self.0;
+            self.change(|listed| listed.calls += 1);
             let now = state.lock().expect("the list");
-            let wait = Duration::from_millis(wait);
-            let (now, _) = news.wait_timeout_while(now, wait, |now| now.0 <= index).expect("the list");
-            let body = match now.0 > index {
-                true => format!(r#"{{"revision":{},"complete":true,"members":[{}]}}"#, now.0, now.1),
+            let nothing =
+                |l: &mut Listed| l.version <= index && !l.refuses && l.reset < own && l.silent < own;
+            let (mut now, _) = news.wait_timeout_while(now, wait, nothing).expect("the list");
+            while now.silent >= own && now.reset < own {
+                now = news.wait(now).expect("the list");
+            }
+            if now.reset >= own {
+                return;
+            }
+            let body = match now.version > index {
+                true => {
+                    format!(r#"{{"revision":{},"complete":true,"members":[{}]}}"#, now.version, now.members)
+                }
                 false => format!(r#"{{"revision":{index},"complete":false,"members":[]}}"#),
             };
+            let status = if now.refuses { "503 Service Unavailable" } else { "200 OK" };
             drop(now);
-            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            let answer = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
             if stream.write_all(answer.as_bytes()).is_err() {
                 return;
             }
@@ -201,6 +255,8 @@
     pub connections: usize,
     pub open: usize,
     pub written: BTreeMap<u64, Vec<u8>>,
+    /// When the last request came.
+    pub last: Option<Instant>,
 }
 
 pub type Shared = Arc<Mutex<Script>>;
@@ -208,6 +264,7 @@
 fn manner(script: &Shared) -> Manner {
     let mut script = script.lock().expect("the script");
     script.seen += 1;
+    script.last = Some(Instant::now());
     match script.next.is_empty() {
         true => Manner::Serve,
         false => script.next.remove(0),
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -169,3 +169,31 @@
     b.turn(0, vec![input]);
     assert_eq!(b.planner.known(), (1, 1), "the node that has always been there");
 }
+
+/// Guards against a write that is sent twice: the planner hears that a node leaves while a link to it comes up, and the link,
+/// of whose connection the planner does not know yet, may have written the request. Only the link can say.
+#[test]
+fn what_is_on_a_link_to_a_node_that_leaves_ends_as_the_link_says() {
+    for ending in [Ending::NotSent, Ending::Served] {
+        let mut bench = Bench::new(4);
+        let other = Member { entry: entry(2, 1, NodeState::Up, None), address: "another".into() };
+        bench.turn(0, vec![Input::Nodes(ListKind::Changes, vec![other])]);
+        let write = bench.request(Ask { class: 2, shard: None, ..ask(1) });
+        let first = sent(&bench.turn(1000, vec![write]));
+        let [(link, tag)] = first[..] else { panic!("one send, not {first:?}") };
+        let leaves =
+            |node, shard| Member { entry: entry(node, shard, NodeState::Draining, None), address: "".into() };
+        let both = vec![leaves(1, 0), leaves(2, 1)];
+        let effects = bench.turn(1000, vec![Input::Nodes(ListKind::Changes, both), Input::LinkUp(link)]);
+        assert!(effects.iter().any(|e| matches!(e, Effect::Bar(l) if *l == link)));
+        assert_eq!((sent(&effects), closed(&effects)), (vec![], vec![]));
+        let back = Member { entry: entry(2, 1, NodeState::Up, None), address: "another".into() };
+        let effects = bench.turn(1000, vec![Input::Nodes(ListKind::Changes, vec![back])]);
+        assert_eq!(sent(&effects), [], "it may have run, as far as is known here");
+        let end = if ending == Ending::Served { served() } else { End::bare(ending) };
+        let effects = bench.turn(1000, vec![Input::Ended(link, tag, end)]);
+        let again = sent(&effects).len();
+        assert_eq!(again, usize::from(ending == Ending::NotSent));
+        assert_eq!(bench.answered().len(), usize::from(ending == Ending::Served));
+    }
+}
