Take 1,024 brokers and 1,024 drained nodes: long packets go in parts

Need: no cap under 1,024. MOST_MEMBERS was 500 (a view had to fit one datagram of 65,507 bytes), MOST_DRAINS 128, MOST_JOINS 256; what was over them was dropped without a word, and a join beyond the bound made a new view each time it asked. A join or a drain over the bound is refused with a line in the log and proposes nothing.

--- a/src/run/cluster.rs
+++ b/src/run/cluster.rs
@@ -8,7 +8,7 @@
 use crate::state::membership::{Settings, View, MOST_DRAINS, MOST_NAME};
 use crate::wire::admin::desk;
 use crate::wire::clock::Clock;
-use crate::wire::cluster::{decode, encode, MOST_DATAGRAM};
+use crate::wire::cluster::{encode, Parts, MOST_DATAGRAM};
 use crate::wire::link::Permit;
 use redb::{Database, ReadableDatabase, TableDefinition};
 use serde::{Deserialize, Serialize};
@@ -410,6 +410,7 @@
         let store = Arc::new(store);
         let mut node = Node::new(self.clock.now(), self.file.settings(), self.seed, kept.as_deref())?;
         let mut buffer = vec![0; MOST_DATAGRAM];
+        let (mut parts, mut number) = (Parts::default(), self.seed);
         let mut leaving: Vec<oneshot::Sender<()>> = Vec::new();
         let mut drains: Vec<(String, bool, oneshot::Sender<u64>)> = Vec::new();
         let (reached, mut in_force) = mpsc::unbounded_channel();
@@ -444,8 +445,8 @@
             }
             for _ in 0..MOST_PACKETS {
                 let Ok((n, from)) = self.socket.try_recv_from(&mut buffer) else { break };
-                match decode(&buffer[..n]) {
-                    Ok(packet) => node.receive(self.clock.now(), packet),
+                match parts.take(self.clock.now(), from, &buffer[..n]) {
+                    Ok(packet) => packet.into_iter().for_each(|p| node.receive(self.clock.now(), p)),
                     Err(error) => {
                         self.garbage += 1;
                         // Said at each power of two: garbage must not fill the log.
@@ -463,7 +464,10 @@
                         let kept = tokio::task::spawn_blocking(move || store.keep(&value)).await;
                         kept.map_err(|e| Over::Thread(e.to_string()))??;
                     }
-                    Output::Send(to, packet) => self.send(&to, &encode(&packet).unwrap_or_default()),
+                    Output::Send(to, packet) => {
+                        number = number.wrapping_add(1);
+                        encode(&packet, number).iter().for_each(|datagram| self.send(&to, datagram));
+                    }
                     Output::View(view) => {
                         told(&view, &node);
                         let (done, reached) = ((self.hooks.apply)(&view.drains), reached.clone());
@@ -502,7 +506,7 @@
 
     /// Sends a datagram; what cannot go is lost, as it might be on the way.
     fn send(&self, to: &str, datagram: &[u8]) {
-        if let (Ok(to), false) = (to.parse::<SocketAddrV4>(), datagram.is_empty()) {
+        if let Ok(to) = to.parse::<SocketAddrV4>() {
             let _ = self.socket.try_send_to(datagram, to.into());
         }
     }
--- a/src/state/membership/mod.rs
+++ b/src/state/membership/mod.rs
@@ -18,9 +18,9 @@
 /// Most bytes of a name or an address in a message.
 pub const MOST_NAME: usize = 128;
 /// Most nodes that may be out at once.
-pub const MOST_DRAINS: usize = 128;
-/// Most members of a view: the messages that carry one must fit a datagram.
-pub const MOST_MEMBERS: usize = 500;
+pub const MOST_DRAINS: usize = 1024;
+/// Most members of a view.
+pub const MOST_MEMBERS: usize = 1024;
 
 /// What one broker is told of its cluster. Times are in microseconds.
 #[derive(Debug, Clone)]
--- a/src/state/membership/node.rs
+++ b/src/state/membership/node.rs
@@ -5,7 +5,7 @@
 use super::edges::{Edges, Subject};
 use super::lease::{enough, Lease};
 use super::rings::Rings;
-use super::{mix, Member, Name, Seat, Settings, View, MOST_DRAINS, MOST_NAME};
+use super::{mix, Member, Name, Seat, Settings, View, MOST_DRAINS, MOST_MEMBERS, MOST_NAME};
 use crate::interface::Time;
 use protobuf::Message as _;
 use raft::eraftpb::{ConfChangeType, Message};
@@ -19,7 +19,7 @@
 /// Between two questions for a later view.
 const ASK: Time = 100_000;
 /// Joins that wait for a view; more are dropped, and asked again.
-const MOST_JOINS: usize = 256;
+const MOST_JOINS: usize = MOST_MEMBERS;
 /// Seats beyond the voters wanted: one dead and one that learns for each.
 const SEATS_EACH: usize = 2;
 /// Members that have gone and are still shown.
@@ -326,7 +326,12 @@
             Body::Grant(at, number, id) => self.granted(at, number, id),
             Body::Drain(node, out) if self.view.holds(&from, incarnation) => {
                 self.forward(&address, from, life, incarnation, Body::Drain(node.clone(), out));
-                if node.len() <= MOST_NAME && self.drains.len() < MOST_DRAINS {
+                let full = out && !self.view.drains.contains(&node) && self.view.drains.len() >= MOST_DRAINS;
+                if full {
+                    // Whoever asked is told no when its time is over.
+                    let text = format!("not taken out: {node}; {MOST_DRAINS} nodes are out already");
+                    self.out.push(Output::Log(text));
+                } else if node.len() <= MOST_NAME && self.drains.len() < MOST_DRAINS {
                     self.drains.insert(node, out);
                 }
             }
@@ -390,6 +395,12 @@
         if !self.leads() {
             return self.forward(&address, from, life, 0, Body::Join(seen, seat));
         }
+        if self.view.members.len() >= MOST_MEMBERS && self.view.member(&from).is_none() {
+            // It asks again; nothing is proposed for its sake.
+            return self
+                .out
+                .push(Output::Log(format!("not taken in: {from}; {MOST_MEMBERS} belong already")));
+        }
         if self.joins.len() < MOST_JOINS || self.joins.contains_key(&from) {
             let member = Member { name: from.clone(), address, incarnation: 0, life };
             self.joins.insert(from, (member, seat));
@@ -616,6 +627,9 @@
                 next.drains.remove(node);
             } else if next.drains.len() < MOST_DRAINS {
                 next.drains.insert(node.clone());
+            } else {
+                self.out
+                    .push(Output::Log(format!("not taken out: {node}, {MOST_DRAINS} nodes are out already")));
             }
         }
         // A voter that is back with what it kept holds its seat again.
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -1,9 +1,10 @@
 //! Membership under a simulated clock and network, with the program's own modules. A seed that fails is named, and
 //! plays again exactly: `CLAYWINCH_SEED=N cargo test --test membership -- schedules`.
 
+use claywinch::interface::Time;
 use claywinch::state::membership::lease::over_after;
-use claywinch::state::membership::node::Phase;
-use claywinch::state::membership::View;
+use claywinch::state::membership::node::{Body, Node, Output, Packet, Phase, TICK};
+use claywinch::state::membership::{View, MOST_MEMBERS};
 use claywinch_lab::simulated::{name, History, Link, World, LEASE, SECOND};
 use rand::RngExt;
 use std::collections::BTreeSet;
@@ -453,3 +454,44 @@
     let (small, large) = (sent(25), sent(300));
     assert!(large <= small * 5 / 4, "{small} {large}");
 }
+
+/// Guards against a cluster that stops growing below its stated bound, and against one beyond it that is dropped without a
+/// word, or keeps the view moving by asking again.
+#[test]
+fn a_thousand_and_twenty_four_belong_and_one_more_is_refused_plainly() {
+    let settings = World::new(23, 1, 1).settings(0);
+    let mut node = Node::new(0, settings.clone(), 7, None).expect("a node");
+    let (mut now, mut logs) = (0, Vec::new());
+    let mut pass = |node: &mut Node, now: &mut Time| {
+        for _ in 0..4 {
+            *now += TICK;
+            let outputs = node.turn(*now).expect("a turn");
+            logs.extend(outputs.into_iter().filter_map(|o| {
+                if let Output::Log(text) = o {
+                    Some(text)
+                } else {
+                    None
+                }
+            }));
+        }
+        logs.len()
+    };
+    while node.view().number == 0 {
+        pass(&mut node, &mut now);
+        assert!(now < 30 * SECOND, "founded");
+    }
+    let join = |node: &mut Node, now, i: usize| {
+        let (from, view) = (format!("joins-{i:04}"), node.view().number);
+        let body = Body::Join(view, None);
+        let (cluster, address) = (settings.cluster.clone(), format!("127.0.0.1:{}", 10_000 + i));
+        node.receive(now, Packet { cluster, from, address, life: i as u64, incarnation: 0, view, body });
+    };
+    (1..MOST_MEMBERS).for_each(|i| join(&mut node, now, i));
+    pass(&mut node, &mut now);
+    assert_eq!(node.view().members.len(), MOST_MEMBERS);
+    let (number, before) = (node.view().number, pass(&mut node, &mut now));
+    join(&mut node, now, MOST_MEMBERS);
+    let after = pass(&mut node, &mut now);
+    assert_eq!((node.view().number, node.view().members.len()), (number, MOST_MEMBERS));
+    assert!(logs[before..after].iter().any(|text| text.starts_with("not taken in: joins-1024")), "{logs:?}");
+}
