Count an answer that is cut off, unreadable or doubled as told when it was written

Need: what discovery writes counts as told, whether or not it can be read; such an answer was taken for a call that merely failed, and the old list held on. It now ends what the list holds at once, the next call goes out at once, and only a whole answer ends that. A whole list that names a node twice is such an answer; of one that has begun the rest is waited for 100 ms.

--- a/src/state/told.rs
+++ b/src/state/told.rs
@@ -49,8 +49,10 @@
 pub enum Failure {
     /// Nobody listens there: whoever keeps the list is away.
     Away,
-    /// It ended in words: a status, a reset, something that is no list.
+    /// It ended in words: a status, or a reset before any.
     Ended,
+    /// Something came that is no whole list: what it should have held counts as told, since it was written.
+    Spoilt,
     /// It never reached discovery: the connection did not come up.
     NotUp,
 }
@@ -164,6 +166,9 @@
     /// The call that was out has failed.
     pub fn failed(&mut self, now: Time, failure: Failure) {
         let call = self.out.take();
+        if failure == Failure::Spoilt {
+            self.open = Some(self.open.map_or(now, |open| open.min(now)));
+        }
         let known = match (call, failure) {
             // A watch that ends in words was open until now, and what is pushed comes at once.
             (Some(call), Failure::Away | Failure::Ended) if self.terms.pushed && call.continues => Some(now),
@@ -176,6 +181,8 @@
         self.asked = self.asked.max(known.unwrap_or(self.asked));
         let every = self.terms.ask_every;
         let gap = match (self.terms.pushed, self.open) {
+            // The next may be whole; if it is not, there is no hurry that helps.
+            _ if failure == Failure::Spoilt && self.failures == 0 => 0,
             (true, _) => self.terms.grace / 4,
             (false, Some(_)) => (every / 20).min(SILENCE / 12),
             (false, None) => ((every / 20) << self.failures.min(16)).min(every * 2 / 5),
@@ -439,6 +446,30 @@
         }
     }
 
+    /// Guards against a list that is cut off or unreadable and passes for a call that merely failed: it was written, so it
+    /// counts as told, and only a whole answer ends that.
+    #[test]
+    fn what_was_written_and_not_understood_counts_as_told() {
+        for terms in TERMS {
+            let mut told = Told::new(0, terms, false, 1);
+            told.step(0);
+            told.answered(S);
+            told.step(S);
+            told.failed(2 * S, Failure::Spoilt);
+            assert_eq!(told.holds_until(), 2 * S);
+            assert!(told.next_deadline() <= 2 * S + LEAST_GAP, "at once");
+            told.step(3 * S);
+            told.failed(3 * S, Failure::Spoilt);
+            assert!(told.next_deadline() > 3 * S + LEAST_GAP, "no storm");
+            told.step(6 * S);
+            told.failed(6 * S, Failure::Ended);
+            assert_eq!(told.holds_until(), 2 * S);
+            told.step(9 * S);
+            told.answered(9 * S);
+            assert!(told.sends_until() >= 9 * S);
+        }
+    }
+
     /// Guards against a storm: many brokers find silence at once, and discovery takes few calls a second, turning away those
     /// for which it has no room. No broker may call more often than its gap, and all get their turn.
     #[test]
--- a/src/wire/discovery.rs
+++ b/src/wire/discovery.rs
@@ -7,7 +7,7 @@
 use bytes::BytesMut;
 use serde::Deserialize;
 use std::borrow::Cow;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Most bytes of a response: thousands of nodes.
 const MOST_BODY: usize = 4 << 20;
@@ -93,6 +93,12 @@
 }
 
 impl Listing {
+    /// Whether a whole list names a node twice: which entry holds is not known. Changes are taken in their order.
+    fn is_doubled(&self) -> bool {
+        let ids: BTreeSet<&str> = self.members.iter().map(|m| m.id.as_str()).collect();
+        self.complete && ids.len() < self.members.len()
+    }
+
     /// How the list is to be read.
     pub fn kind(&self) -> ListKind {
         match self.complete {
@@ -124,10 +130,9 @@
         };
         let complete = self.complete;
         let members: Vec<Listed> = self.members.into_iter().map(member).collect();
-        numbers.keep(|node| match members.iter().find(|l| l.member.entry.node == node) {
-            Some(listed) => listed.member.entry.state != NodeState::Gone,
-            None => !complete,
-        });
+        let last: BTreeMap<NodeId, NodeState> =
+            members.iter().map(|l| (l.member.entry.node, l.member.entry.state)).collect();
+        numbers.keep(|node| last.get(&node).map_or(!complete, |state| *state != NodeState::Gone));
         members
     }
 }
@@ -195,7 +200,8 @@
             },
         };
         match status {
-            200 => match serde_json::from_slice(&text) {
+            200 => match serde_json::from_slice::<Listing>(&text) {
+                Ok(listing) if listing.is_doubled() => return Err(Broken("a list that names a node twice")),
                 Ok(listing) => (Response::Listing(listing), end),
                 Err(_) => return Err(Broken("not a list of nodes")),
             },
--- a/src/wire/watch.rs
+++ b/src/wire/watch.rs
@@ -19,6 +19,8 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
 
+/// How long the rest of an answer may take that has begun: what is written counts as told.
+const REST: Duration = Duration::from_millis(100);
 /// How long the connection may take to come up.
 const CONNECT: Duration = Duration::from_millis(1_000);
 
@@ -170,13 +172,20 @@
     stream.write_all(call.as_bytes()).await.map_err(ended)?;
     let mut read = BytesMut::with_capacity(4096);
     loop {
-        if stream.read_buf(&mut read).await.map_err(ended)? == 0 {
-            return Err((Failure::Ended, "closed by discovery".to_string()));
+        let begun = !read.is_empty();
+        let more = stream.read_buf(&mut read);
+        let more = if begun { tokio::time::timeout(REST, more).await } else { Ok(more.await) };
+        let failure = if begun { Failure::Spoilt } else { Failure::Ended };
+        match more {
+            Err(_) => return Err((failure, "the rest of an answer does not come".to_string())),
+            Ok(Err(e)) => return Err((failure, e.to_string())),
+            Ok(Ok(0)) => return Err((failure, "closed by discovery".to_string())),
+            Ok(Ok(_)) => {}
         }
         match discovery::decode(&mut read) {
             Ok(None) => {}
             Ok(Some((response, keep))) => return Ok((response, Some(stream).filter(|_| keep))),
-            Err(e) => return Err((Failure::Ended, e.to_string())),
+            Err(e) => return Err((Failure::Spoilt, e.to_string())),
         }
     }
 }
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -4,15 +4,24 @@
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
-/// An address that nothing listens on.
+/// An address that nothing listens on. Its port lies below those that connections are given, or one of them could take it
+/// before it is listened on.
 pub fn free_address() -> String {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port").to_string()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let port = 10_000 + (std::process::id() * 97 + NEXT.fetch_add(1, Relaxed)) % 20_000;
+        let address = format!("127.0.0.1:{port}");
+        if TcpListener::bind(&address).is_ok() {
+            return address;
+        }
+    }
 }
 
 pub fn unix_ms() -> u64 {
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -5,6 +5,7 @@
 
 use common::net::*;
 use std::io::Write;
+use std::net::TcpStream;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -60,18 +61,23 @@
 
     /// Asks for something of a shard; whether it was served.
     fn ask(&self, shard: usize) -> bool {
+        self.ask_on(&mut connect(&self.broker.listen), shard)
+    }
+
+    fn ask_on(&self, stream: &mut TcpStream, shard: usize) -> bool {
         static IDS: AtomicU64 = AtomicU64::new(1);
         let id = format!("{:016x}", IDS.fetch_add(1, Relaxed));
         let fields = format!(
             "c=read,t=standard,d={DEADLINE_MS},volume=00000003b4d60021,units=2,shard={shard},hosts=1"
         );
-        let mut stream = connect(&self.broker.listen);
         let length = fields.len();
         let command = format!(
             "*4\r\n$7\r\nOBJ.GET\r\n$16\r\n7f3a9c21e0b4d655\r\n$16\r\n{id}\r\n${length}\r\n{fields}\r\n"
         );
         stream.write_all(command.as_bytes()).expect("asks");
-        line(&mut stream).expect("an answer").starts_with('$')
+        let first = line(stream).expect("an answer");
+        // The value behind its length.
+        first.starts_with('$') && exact(stream, 7).is_ok()
     }
 
     /// Asks both shards for so long. How often each was served, and when the first was last.
@@ -81,8 +87,9 @@
         thread::scope(|scope| {
             for (shard, served) in served.iter_mut().enumerate() {
                 scope.spawn(move || {
+                    let mut stream = connect(&self.broker.listen);
                     while Instant::now() < end {
-                        *served += usize::from(self.ask(shard));
+                        *served += usize::from(self.ask_on(&mut stream, shard));
                         thread::sleep(Duration::from_millis(5));
                     }
                 });
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -142,6 +142,95 @@
     assert_eq!(lost, [Ending::Reset, Ending::Unreachable]);
 }
 
+/// Guards against a first byte that is written after the node was announced as leaving, and against a request that is given
+/// back as never sent though some of it was.
+#[test]
+fn what_has_not_begun_is_taken_back_and_what_has_is_not() {
+    let commands = || {
+        let (mut client, mut asks) = (resp_client(), Vec::new());
+        let text: String = ["1", "2", "3"].map(|id| get(id, FIELDS)).concat();
+        client.receive(0, &mut BytesMut::from(text.as_bytes()), &mut asks);
+        asks.into_iter().map(|(_, command)| command)
+    };
+    let one = {
+        let mut node = Node::default();
+        commands().take(1).for_each(|c| node.send((0, 0), 480_000, c));
+        node.outbox().len() as usize
+    };
+    for bytes in [0, 1, one - 1, one, one + 1, 2 * one, 2 * one + 1, 3 * one] {
+        let mut node = Node::default();
+        commands().enumerate().for_each(|(i, c)| node.send((i as u64, 0), 480_000, c));
+        node.outbox().wrote(bytes);
+        let begun = bytes.div_ceil(one);
+        let back: Vec<u64> = node.take_back().into_iter().map(|(id, _)| id).collect();
+        assert_eq!(back, (begun as u64..3).collect::<Vec<u64>>(), "{bytes}");
+        assert_eq!(written(node.outbox()).len(), begun * one - bytes, "what has begun goes on");
+        assert!(node.take_back().is_empty());
+        // What comes after is written whole.
+        commands().take(1).for_each(|c| node.send((9, 0), 480_000, c));
+        assert_eq!(written(node.outbox()).len(), one);
+        assert_eq!(node.lost().len(), begun + 1);
+    }
+}
+
+/// The same for a body that comes while it is sent on, and what waits behind it.
+#[test]
+fn a_long_body_is_taken_back_before_its_first_byte_only() {
+    let text = put("1", &FIELDS.replace("read", "write"), &"b".repeat(100_000));
+    for written_before in [false, true] {
+        let (mut node, mut client) = (Node::default(), resp_client());
+        let id = asked_of(&mut node, &mut client, &text.as_bytes()[..50_000], &mut BytesMut::new());
+        let (mut other, mut asks) = (resp_client(), Vec::new());
+        other.receive(0, &mut BytesMut::from(get("2", FIELDS).as_bytes()), &mut asks);
+        node.send((77, 0), 480_000, asks.remove(0).1);
+        if written_before {
+            node.outbox().wrote(1);
+        }
+        let back: Vec<u64> = node.take_back().into_iter().map(|(id, _)| id).collect();
+        assert_eq!(back, if written_before { vec![77] } else { vec![id, 77] });
+        node.fill().expect("nothing is broken");
+        assert_eq!(node.outbox().is_empty(), !written_before);
+    }
+}
+
+/// Guards against a request that waits for the end of a handshake with a node that leaves meanwhile.
+#[test]
+fn an_nbd_node_gives_back_what_waits_for_its_handshake() {
+    let mut node = nbd_node();
+    assert_eq!(node.take_back(), [(5, 0)]);
+    assert!(node.lost().is_empty());
+}
+
+/// Guards against half a list that passes for a whole one, and a whole one that names a node twice.
+#[test]
+fn lists_that_are_cut_off_or_doubled_are_none_and_indented_ones_are_read() {
+    let member = |id: &str| {
+        format!("{{\n\t\"id\": \"s-{id}\",\n  \"host_port\": \"a:1\", \"cell\": 3,\r\n \"phase\": \"draining\"\n}}")
+    };
+    let answer = |complete: bool, members: &[String], cut: usize| {
+        let list = format!(
+            "{{\n  \"revision\": 7,\n  \"complete\": {complete},\n  \"members\": [\n{}\n]\n}}\n",
+            members.join(",\n")
+        );
+        let list = &list[..list.len() - cut];
+        let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len());
+        discovery::decode(&mut BytesMut::from(text.as_bytes()))
+    };
+    let (one, other) = (member("00000001"), member("00000002"));
+    assert!(matches!(answer(true, &[one.clone(), other.clone()], 0), Ok(Some(_))));
+    for cut in 2..80 {
+        assert!(answer(true, &[one.clone(), other.clone()], cut).is_err(), "{cut}");
+    }
+    assert!(answer(true, &[one.clone(), other, one.clone()], 0).is_err());
+    assert!(matches!(answer(false, &[one.clone(), one], 0), Ok(Some(_))), "changes are taken in their order");
+    // As many nodes as any deployment has.
+    let many: Vec<String> = (0..1024).map(|i| member(&format!("{i:08x}"))).collect();
+    let Ok(Some((discovery::Response::Listing(list), _))) = answer(true, &many, 0) else { panic!("a list") };
+    let mut numbers = discovery::NodeNumbers::default();
+    assert_eq!(list.into_listed(&mut numbers, &[]).len(), 1024);
+    assert_eq!(numbers.name(1023), Some("s-000003ff"));
+}
+
 #[test]
 fn discovery_survives_cuts_and_garbage() {
     let list = r#"{"revision":41,"complete":true,"members":[{"id":"s-5be2a07c","host_port":"127.1.0.18:6379",
