Let a silent discovery stop only the nodes that it lists, not those of the NBD front

Cause (read in the whole change): the NBD front shared the cell that says until when the list of discovery holds (run/start.rs, nbd::Place), so its links gave everything back while discovery was silent, though its nodes stand in a file. It has the lease in common now and a list without an end. Also: a drain over the bound that came in one batch with others was kept and had a view proposed again and again (membership/node.rs, lead); it is dropped with its line.

Test: a_silent_discovery_stops_those_that_it_lists_only.

--- a/src/run/start.rs
+++ b/src/run/start.rs
@@ -210,7 +210,7 @@
     let windows = Room::new(limits.windows);
     // A broker of a cluster sends nothing before its first lease.
     let bound = config.cluster.as_ref().is_some_and(|file| file.without_lease == WithoutLease::Stop);
-    let lease = Cell::new(if bound { Time::MIN } else { Time::MAX });
+    let lease = Rc::new(Cell::new(if bound { Time::MIN } else { Time::MAX }));
     let permit: Permit = Rc::new(Written { lease, list: Cell::new(Time::MAX) });
     let fleet = Fleet {
         name: "resp",
@@ -308,14 +308,10 @@
         None => None,
         Some(deploy) => {
             let phase = phases.clone();
-            let place = nbd::Place {
-                clock,
-                pulse,
-                seed: config.seed,
-                limits: nbd_limits,
-                phase,
-                permit: permit.clone(),
-            };
+            // Its nodes stand in a file: what discovery may have told does not concern them.
+            let list = Cell::new(Time::MAX);
+            let permit = Rc::new(Written { lease: permit.lease.clone(), list });
+            let place = nbd::Place { clock, pulse, seed: config.seed, limits: nbd_limits, phase, permit };
             Some(nbd::start(deploy, config.nbd_file, place, bounds)?)
         }
     };
--- a/src/state/membership/node.rs
+++ b/src/state/membership/node.rs
@@ -622,16 +622,18 @@
             next.origin = mix(&postcard::to_stdvec(council.roll())?, 0);
         }
         next.seats = seats.unwrap_or(next.seats);
-        for (node, out) in &self.drains {
-            if !out {
-                next.drains.remove(node);
-            } else if next.drains.len() < MOST_DRAINS {
-                next.drains.insert(node.clone());
-            } else {
-                self.out
-                    .push(Output::Log(format!("not taken out: {node}, {MOST_DRAINS} nodes are out already")));
+        let (log, wanted) = (&mut self.out, &mut next.drains);
+        self.drains.retain(|node, out| {
+            let full = *out && !wanted.contains(node) && wanted.len() >= MOST_DRAINS;
+            match (full, *out) {
+                // Kept, it would have a view proposed again and again.
+                (true, _) => log
+                    .push(Output::Log(format!("not taken out: {node}; {MOST_DRAINS} nodes are out already"))),
+                (false, true) => drop(wanted.insert(node.clone())),
+                (false, false) => drop(wanted.remove(node)),
             }
-        }
+            !full
+        });
         // A voter that is back with what it kept holds its seat again.
         for (member, id) in joins.values() {
             if let Some(seat) = next.seats.iter_mut().find(|s| Some(s.id) == *id && s.name == member.name) {
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -125,7 +125,7 @@
 #[derive(Debug)]
 pub struct Limits {
     /// Anything: the end of this broker's lease, or for good where it needs none.
-    pub lease: Cell<Time>,
+    pub lease: Rc<Cell<Time>>,
     /// The first byte of a request: as long as the list of nodes holds.
     pub list: Cell<Time>,
 }
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -493,3 +493,15 @@
     stream.write_all(resp_command(false).as_bytes()).unwrap();
     assert_eq!(resp_verdict(&mut stream), Served);
 }
+
+/// Guards against a discovery that stops the NBD front, whose nodes stand in a file.
+#[test]
+fn a_silent_discovery_stops_those_that_it_lists_only() {
+    let (broker, mut resp, mut nbd) = rigs("silent-lists");
+    assert_eq!((resp.ask(false, 1), nbd.ask(false, 1)), (vec![Served], vec![Served]));
+    resp.discovery.fall_silent(true);
+    until("its list no longer holds", || broker.log().contains("held=true"));
+    let mut stream = connect(&broker.listen);
+    stream.write_all(resp_command(false).as_bytes()).expect("asks");
+    assert_eq!((resp_verdict(&mut stream), nbd.ask(false, 1)), (Refused, vec![Served]));
+}
