--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod nbd;
 pub mod rig;
 pub mod simulated;
+pub mod slopes;
 pub mod truth;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -8,6 +8,7 @@
 use claywinch_lab::load::{Class, Kind};
 use claywinch_lab::rig::{Came, Rig, Schedule, Times};
 use claywinch_lab::simulated::{name, Link};
+use claywinch_lab::slopes;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -58,6 +59,27 @@
         /// The file that says what is played.
         file: PathBuf,
     },
+    /// Measures what the broker costs at several sizes, keeps the figures, and prints each as a line over the size.
+    Slopes {
+        /// What is measured; `show` only prints what was kept.
+        #[arg(value_enum)]
+        part: Part,
+        /// The sizes: brokers, members, nodes or clients. Left out, those of the page.
+        #[arg(long, value_delimiter = ',')]
+        counts: Vec<u64>,
+        /// How many runs.
+        #[arg(long, default_value_t = 3)]
+        runs: u64,
+        /// The number of the first, so that runs can be made at different times.
+        #[arg(long, default_value_t = 1)]
+        first: u64,
+        /// How long idle processes are watched.
+        #[arg(long, default_value_t = 8.0)]
+        seconds: f64,
+        /// The folder that results are kept in.
+        #[arg(long, default_value = "docs/results/capacity")]
+        results: PathBuf,
+    },
     /// Plays an experiment and keeps its tables and charts.
     Experiment {
         /// The file that says what is played.
@@ -68,6 +90,65 @@
     },
 }
 
+/// What `slopes` measures.
+#[derive(Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
+enum Part {
+    /// Processes that do nothing, in a cluster and without it.
+    Idle,
+    /// The parts of membership by themselves.
+    Control,
+    /// The decision module and discovery's list.
+    Data,
+    /// A broker with connections of clients.
+    Clients,
+    /// Nothing: what was kept is printed.
+    Show,
+}
+
+impl Part {
+    /// Its name, the sizes that the page rests on, and the most that is taken.
+    fn terms(self) -> (&'static str, &'static [u64], u64) {
+        match self {
+            Part::Idle => ("idle", &[10, 40, 100, 200], 250),
+            Part::Control => ("control", &[100, 400, 850, 1_700, 4_000], 20_000),
+            Part::Data => ("data", &[200, 1_000, 4_200], 20_000),
+            Part::Clients => ("clients", &[0, 1_000, 4_700, 9_400], 10_000),
+            Part::Show => ("", &[], 0),
+        }
+    }
+}
+
+/// Measures a part at each size, each run by itself, and keeps each as it comes.
+fn measure(
+    broker: &Path,
+    part: Part,
+    counts: &[u64],
+    runs: std::ops::Range<u64>,
+    window: std::time::Duration,
+    file: &Path,
+) -> Result<(), ExperimentError> {
+    let io = |error| ExperimentError::Io("slopes".to_string(), error);
+    let content = |reason| ExperimentError::Content("slopes".to_string(), reason);
+    for run in runs {
+        for count in counts {
+            let mut rows = match part {
+                Part::Idle => {
+                    slopes::idle::measure(broker, *count as usize, run, true, window).map_err(io)?
+                }
+                Part::Control => slopes::control::measure(*count, run).map_err(content)?,
+                Part::Data => slopes::data::measure(*count as u32, run).map_err(content)?,
+                Part::Clients => slopes::clients::measure(broker, *count as usize, run).map_err(io)?,
+                Part::Show => Vec::new(),
+            };
+            if part == Part::Idle {
+                rows.extend(slopes::idle::measure(broker, *count as usize, run, false, window).map_err(io)?);
+            }
+            slopes::keep(file, &rows).map_err(io)?;
+        }
+    }
+    Ok(())
+}
+
 fn demo(seconds: f64) -> Experiment {
     use claywinch_lab::disk::Fault;
     let class =
@@ -224,6 +305,28 @@
             }
             Ok(())
         }
+        What::Slopes { part, counts, runs, first, seconds, results } => {
+            let (name, usual, most) = part.terms();
+            let counts = if counts.is_empty() { usual.to_vec() } else { counts };
+            let least = if part == Part::Clients { 0 } else { 4 };
+            if let Some(bad) = counts.iter().find(|c| **c < least || **c > most) {
+                let reason = format!("--counts {bad}: {least} to {most}");
+                return Err(ExperimentError::Content("slopes".to_string(), reason));
+            }
+            if !(0.5..=60.0).contains(&seconds) {
+                let reason = format!("--seconds {seconds}: 0.5 to 60");
+                return Err(ExperimentError::Content("slopes".to_string(), reason));
+            }
+            let file = results.join(format!("{name}.csv"));
+            let window = std::time::Duration::from_secs_f64(seconds);
+            measure(&arguments.broker, part, &counts, first..first + runs, window, &file)?;
+            let parts = [Part::Idle, Part::Control, Part::Data, Part::Clients];
+            for shown in parts.into_iter().filter(|p| part == Part::Show || *p == part) {
+                let file = results.join(format!("{}.csv", shown.terms().0));
+                println!("{}", slopes::show(&slopes::read(&file).map_err(io(file.display().to_string()))?));
+            }
+            Ok(())
+        }
         What::Experiment { file, results } => {
             let experiment = Experiment::read(&file)?;
             let played = experiment.play(&arguments.broker)?;
