--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -131,18 +131,13 @@
     let content = |reason| ExperimentError::Content("slopes".to_string(), reason);
     for run in runs {
         for count in counts {
-            let mut rows = match part {
-                Part::Idle => {
-                    slopes::idle::measure(broker, *count as usize, run, true, window).map_err(io)?
-                }
+            let rows = match part {
+                Part::Idle => slopes::idle::both(broker, *count as usize, run, window).map_err(io)?,
                 Part::Control => slopes::control::measure(*count, run).map_err(content)?,
                 Part::Data => slopes::data::measure(*count as u32, run).map_err(content)?,
                 Part::Clients => slopes::clients::measure(broker, *count as usize, run).map_err(io)?,
                 Part::Show => Vec::new(),
             };
-            if part == Part::Idle {
-                rows.extend(slopes::idle::measure(broker, *count as usize, run, false, window).map_err(io)?);
-            }
             slopes::keep(file, &rows).map_err(io)?;
         }
     }
--- a/crates/lab/src/slopes/idle.rs
+++ b/crates/lab/src/slopes/idle.rs
@@ -130,14 +130,28 @@
     (datagrams.unwrap_or(0.0), bytes.unwrap_or(0.0))
 }
 
+/// So many processes, idle for `window`, in a cluster and without it, and what the cluster adds.
+pub fn both(program: &Path, count: usize, run: u64, window: Duration) -> io::Result<Vec<Row>> {
+    let mut rows = measure(program, count, run, true, window)?;
+    let alone = measure(program, count, run, false, window)?;
+    let without = |quantity: &str| alone.iter().find(|r| r.quantity == quantity).map_or(0.0, |r| r.value);
+    let added: Vec<Row> = rows
+        .iter()
+        .filter(|r| !r.quantity.starts_with("thread"))
+        .map(|r| {
+            // Each kind of broker is what it is without a cluster, where there is one kind.
+            let kinds = ["processor-leader", "processor-voter", "processor-plain"];
+            let same = if kinds.contains(&r.quantity.as_str()) { "processor" } else { r.quantity.as_str() };
+            Row::new(("idle-added", r.count, run), &r.quantity, &r.unit, r.value - without(same))
+        })
+        .collect();
+    rows.extend(alone);
+    rows.extend(added);
+    Ok(rows)
+}
+
 /// So many processes, idle for `window`, with their cluster or without it.
-pub fn measure(
-    program: &Path,
-    count: usize,
-    run: u64,
-    cluster: bool,
-    window: Duration,
-) -> io::Result<Vec<Row>> {
+fn measure(program: &Path, count: usize, run: u64, cluster: bool, window: Duration) -> io::Result<Vec<Row>> {
     let fleet = Fleet::start(program, count, cluster)?;
     let leads = if cluster { fleet.agree()? } else { vec![false; count] };
     std::thread::sleep(SETTLE);
@@ -163,11 +177,11 @@
         row("processor-leader", "%core", mean(&leader));
         row("processor-voter", "%core", mean(&follows));
         row("processor-plain", "%core", mean(&all[voters..]));
-        row("datagrams-sent", "1/s", (last.0 - net.0) / seconds / count as f64);
-        // Heads of IP and UDP are not what a broker spends: 28 bytes each.
-        let bytes = last.1 - net.1 - 28.0 * (last.0 - net.0);
-        row("bytes-sent", "B/s", bytes / seconds / count as f64);
     }
+    row("datagrams-sent", "1/s", (last.0 - net.0) / seconds / count as f64);
+    // Heads of IP and UDP are left out: 28 bytes for each datagram.
+    let bytes = last.1 - net.1 - 28.0 * (last.0 - net.0);
+    row("bytes-sent", "B/s", bytes / seconds / count as f64);
     for thread in after[0].keys() {
         let by: Vec<f64> = (0..count).map(|i| used(i, Some(thread))).collect();
         row(&format!("thread-{thread}"), "%core", mean(&by));
--- a/tests/ramp.rs
+++ b/tests/ramp.rs
@@ -204,12 +204,21 @@
     worst
 }
 
+/// A fleet beside those of the test, as `RAMP_FLEET=1700:0.25` names it: its hosts, and the requests a second that one of
+/// middling traffic sees for one node. What names none fails the test.
+fn one_more() -> Option<(u32, f64)> {
+    let text = std::env::var("RAMP_FLEET").ok()?;
+    let (hosts, rate) = text.split_once(':').expect("HOSTS:RATE");
+    Some((hosts.parse().expect("a count of hosts"), rate.parse().expect("a rate")))
+}
+
 /// Guards against a cold node that falls under the sum of what every host sends by its own draw: uneven traffic, a node that
 /// is asked for far more than others, and hosts that start anew and do not know what their former lives sent.
 #[test]
 fn a_cold_node_gets_its_budget_and_a_little_for_chance_however_many_hosts_there_are() {
     let seeds = std::env::var("RAMP_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(12);
-    for (hosts, rate) in [(3, 4.0), (8, 2.0), (20, 1.5), (30, 1.0), (300, 0.1)] {
+    let fleets = [(3, 4.0), (8, 2.0), (20, 1.5), (30, 1.0), (300, 0.1)];
+    for (hosts, rate) in fleets.into_iter().chain(one_more()) {
         for (hot, restarts) in [(1.0, false), (1.0, true), (5.0, false), (5.0, true)] {
             let seen = worst(Play { hosts, rate, hot, restarts }, seeds);
             println!("{hosts:>4} hosts, hot {hot}, restarts {restarts}: calls {:.2}, work {:.2} of the bound, used {:.2}", seen.calls, seen.work, seen.used);
