Lay simulated brokers out by region, zone and rack, and count what each sends by kind

Needed for the size in two years: links by pair and cuts by pair do not bear 1,700 brokers. What is sent and read is counted as encoded, by broker and kind of message; leases that lapse and views in force with their times. Not yet run at size.

--- a/crates/lab/src/simulated.rs
+++ b/crates/lab/src/simulated.rs
@@ -1,10 +1,13 @@
 //! A simulated clock and network around the program's own membership modules: one thread, seeded, so that a run
 //! plays again exactly. Faults are put between brokers, and every view that any of them adopts is noted.
 
+use crate::layout::Layout;
+use crate::meter::{kind, Counted, Spread, Traffic};
 use claywinch::interface::Time;
 use claywinch::state::membership::lease::over_after;
-use claywinch::state::membership::node::{Body, Node, Output, Packet, Phase};
+use claywinch::state::membership::node::{Node, Output, Packet, Phase};
 use claywinch::state::membership::{Settings, View};
+use claywinch::wire::cluster::encode;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::cmp::Reverse;
@@ -61,6 +64,8 @@
     pub full: bool,
     /// Packets sent, and their bytes as encoded.
     pub sent: (u64, u64),
+    /// What it did since the last mark.
+    pub counted: Counted,
     /// The highest view of this life.
     seen: u64,
     waiting: Vec<Packet>,
@@ -132,6 +137,19 @@
         self.views.values().next_back().map(|(v, _)| v)
     }
 
+    /// The first view after one of that number that has a node out, or not: its number, and when it was first adopted.
+    pub fn first_with(&self, after: u64, node: &str, out: bool) -> Option<(u64, Time)> {
+        let mut later = self.views.range(after + 1..);
+        later.find(|(_, (v, _))| v.drains.contains(node) == out).map(|(number, (_, at))| (*number, *at))
+    }
+
+    /// The first view after one of that number that holds none of these names: its number, and when it was first adopted.
+    pub fn first_without(&self, after: u64, names: &BTreeSet<String>) -> Option<(u64, Time)> {
+        let mut later = self.views.range(after + 1..);
+        let none = |v: &View| names.iter().all(|n| v.member(n).is_none());
+        later.find(|(_, (v, _))| none(v)).map(|(number, (_, at))| (*number, *at))
+    }
+
     /// When a view was first adopted.
     pub fn first_of(&self, number: u64) -> Option<Time> {
         self.views.get(&number).map(|(_, at)| *at)
@@ -144,7 +162,7 @@
 
 enum Event {
     Turn(usize, u64),
-    Arrive(usize, Packet),
+    Arrive(usize, Packet, Traffic),
 }
 
 /// Brokers, links and the time.
@@ -155,18 +173,22 @@
     pub hosts: Vec<Host>,
     /// Links that are not as the others; from, to.
     pub links: BTreeMap<(usize, usize), Link>,
-    /// All others.
+    /// All others, where there is no layout.
     pub link: Link,
+    /// Where brokers stand; what `links` does not say of a link follows from it.
+    pub layout: Option<Layout>,
     /// What was seen.
     pub history: History,
     /// For chance; schedules may draw from it, too.
     pub chance: StdRng,
     /// A planted fault: leases that are taken to end so much later.
     pub forged: Time,
-    /// Counts bytes of packets, which costs time.
+    /// Counts bytes of packets, which costs time. With a layout they are counted always.
     pub weighs: bool,
     voters: usize,
     silence: Time,
+    /// Packets that wait at a paused broker; more are lost.
+    waits: usize,
     queue: BinaryHeap<Reverse<(Time, u64, usize)>>,
     events: Vec<Option<Event>>,
     free: Vec<usize>,
@@ -186,12 +208,14 @@
             hosts: (0..hosts).map(|_| Host::default()).collect(),
             links: BTreeMap::new(),
             link: Link::default(),
+            layout: None,
             history: History::default(),
             chance: StdRng::seed_from_u64(seed),
             forged: 0,
             weighs: false,
             voters,
             silence: 4 * SECOND,
+            waits: MOST_WAITING,
             queue: BinaryHeap::new(),
             events: Vec::new(),
             free: Vec::new(),
@@ -259,6 +283,7 @@
     pub fn kill(&mut self, host: usize) {
         self.hosts[host].node = None;
         self.hosts[host].turn += 1;
+        self.hosts[host].counted.ends();
     }
 
     /// Stops a host's process for a while.
@@ -268,7 +293,8 @@
 
     /// The link from one host to another.
     pub fn between(&self, from: usize, to: usize) -> Link {
-        self.links.get(&(from, to)).copied().unwrap_or(self.link)
+        let laid = || self.layout.as_ref().map_or(self.link, |l| l.link(from, to));
+        self.links.get(&(from, to)).copied().unwrap_or_else(laid)
     }
 
     /// Cuts off what goes from some to others.
@@ -293,7 +319,10 @@
             self.free.push(place);
             match event {
                 Some(Event::Turn(host, turn)) if self.hosts[host].turn == turn => self.turn(host),
-                Some(Event::Arrive(host, packet)) => self.arrive(host, packet),
+                Some(Event::Arrive(host, packet, traffic)) => {
+                    self.hosts[host].counted.reads(traffic);
+                    self.arrive(host, packet);
+                }
                 _ => {}
             }
         }
@@ -304,7 +333,7 @@
         let h = &mut self.hosts[host];
         let Some(node) = &mut h.node else { return };
         if h.paused > self.now {
-            if h.waiting.len() < MOST_WAITING {
+            if h.waiting.len() < self.waits {
                 h.waiting.push(packet);
             }
             return;
@@ -378,7 +407,9 @@
                 Output::Log(_) => {}
             }
         }
-        let Some(node) = &self.hosts[host].node else { return };
+        let h = &mut self.hosts[host];
+        let Some(node) = &h.node else { return };
+        h.counted.stands(now, node.in_force(), node.lease(), h.ahead);
         if node.lease().saturating_add(self.forged) > own {
             self.history.sends(now, &name(host), node.in_force());
         }
@@ -386,26 +417,35 @@
 
     fn send(&mut self, from: usize, to: &str, packet: Packet) {
         let Some(to) = to.strip_prefix('b').and_then(|n| n.parse::<usize>().ok()) else { return };
+        let counts = self.weighs || self.layout.is_some();
+        let sizes: Vec<usize> =
+            if counts { encode(&packet, self.number).iter().map(Vec::len).collect() } else { vec![0] };
+        let bytes = sizes.iter().sum::<usize>() as u64;
+        let traffic = Traffic { datagrams: sizes.len() as u64, bytes };
         let h = &mut self.hosts[from];
         h.sent.0 += 1;
-        if self.weighs {
-            // The encoded size, without making the bytes.
-            let body = match &packet.body {
-                Body::Raft(bytes) => bytes.len(),
-                Body::View(view) => 24 + 40 * view.members.len(),
-                _ => 8,
-            };
-            h.sent.1 += (40 + packet.cluster.len() + packet.from.len() + packet.address.len() + body) as u64;
+        h.sent.1 += bytes;
+        h.counted.sends(kind(&packet.body), traffic);
+        if to >= self.hosts.len() {
+            return;
         }
         let link = self.between(from, to);
-        if to >= self.hosts.len() || self.chance.random::<f64>() < link.loss {
-            return;
+        // A packet in parts comes whole or not at all.
+        for size in sizes {
+            let loss = self.layout.as_ref().map_or(link.loss, |l| l.lost(&link, size));
+            if self.chance.random::<f64>() < loss {
+                return;
+            }
         }
-        let copies = 1 + usize::from(self.chance.random::<f64>() < link.twice);
-        for _ in 0..copies {
-            let delay = self.chance.random_range(link.delay.0..=link.delay.1) + self.hosts[to].slow;
-            self.push(self.now + delay, Event::Arrive(to, packet.clone()));
+        if self.chance.random::<f64>() < link.twice {
+            self.pass(to, &link, packet.clone(), traffic);
         }
+        self.pass(to, &link, packet, traffic);
+    }
+
+    fn pass(&mut self, to: usize, link: &Link, packet: Packet, traffic: Traffic) {
+        let delay = self.chance.random_range(link.delay.0..=link.delay.1) + self.hosts[to].slow;
+        self.push(self.now + delay, Event::Arrive(to, packet, traffic));
     }
 
     /// Those that run, and where they stand.
@@ -416,10 +456,103 @@
 
     /// Whether all that run are members of one view that holds nobody else.
     pub fn agree(&self) -> bool {
-        let running: BTreeSet<String> = self.phases().iter().map(|(i, ..)| name(*i)).collect();
-        let mut views = self.hosts.iter().filter_map(|h| h.node.as_ref()).map(Node::view);
-        let Some(first) = views.next() else { return false };
-        let members: BTreeSet<String> = first.members.iter().map(|m| m.name.clone()).collect();
-        members == running && views.all(|v| v == first) && self.phases().iter().all(|p| p.1 == Phase::Member)
+        let mut running = self.hosts.iter().enumerate().filter_map(|(i, h)| Some((i, h.node.as_ref()?)));
+        let Some((_, first)) = running.next() else { return false };
+        let same = |n: &Node| n.phase() == Phase::Member && n.view().number == first.view().number;
+        if !same(first) || !running.clone().all(|(_, n)| same(n)) {
+            return false;
+        }
+        let names: BTreeSet<String> = self.phases().iter().map(|(i, ..)| name(*i)).collect();
+        let members: BTreeSet<String> = first.view().members.iter().map(|m| m.name.clone()).collect();
+        members == names && running.all(|(_, n)| n.view() == first.view())
+    }
+
+    /// Lets time pass until something holds, looked at every `step`, for `most` at most. Gives how long that took.
+    pub fn until(&mut self, step: Time, most: Time, mut holds: impl FnMut(&World) -> bool) -> Option<Time> {
+        let from = self.now;
+        loop {
+            if holds(self) {
+                return Some(self.now - from);
+            }
+            if self.now - from >= most {
+                return None;
+            }
+            self.run(step);
+        }
+    }
+
+    /// The broker that leads the voters, if one does; of several the one of the latest view.
+    pub fn leader(&self) -> Option<usize> {
+        let leads = |(i, h): (usize, &Host)| {
+            let node = h.node.as_ref().filter(|n| n.leads())?;
+            Some((node.view().number, i))
+        };
+        self.hosts.iter().enumerate().filter_map(leads).max().map(|(_, i)| i)
+    }
+
+    /// Starts all and lets them come together by the program's own code, with links as within a zone: the voters found the
+    /// cluster, and all others ask at once. The leader reads what they ask in one turn, as a driver does that was busy,
+    /// so that the crowd comes in few views. Gives how long it took; nothing if they do not agree within `most`.
+    pub fn together(&mut self, most: Time) -> Option<Time> {
+        let (from, laid) = (self.now, self.layout.take());
+        let (hosts, voters) = (self.hosts.len(), self.voters);
+        (0..voters).for_each(|h| self.start(h));
+        self.until(SECOND / 10, most, |w| w.leader().is_some() && w.agree())?;
+        self.waits = usize::MAX;
+        let mut first = voters;
+        while self.now - from < most && !self.agree() {
+            let leader = self.leader()?;
+            self.pause(leader, SECOND / 2);
+            (first..hosts).for_each(|h| self.start(h));
+            first = hosts;
+            self.run(SECOND * 2 / 5);
+            let own = self.now + self.hosts[leader].ahead;
+            self.hosts[leader].paused = 0;
+            let waiting = std::mem::take(&mut self.hosts[leader].waiting);
+            if let Some(node) = &mut self.hosts[leader].node {
+                waiting.into_iter().for_each(|packet| node.receive(own, packet));
+            }
+            self.act(leader);
+            self.until(SECOND / 10, 2 * SECOND, World::agree);
+        }
+        self.waits = MOST_WAITING;
+        self.layout = laid;
+        self.agree().then_some(self.now - from)
+    }
+
+    /// Begins to measure anew.
+    pub fn mark(&mut self) {
+        let now = self.now;
+        self.hosts.iter_mut().for_each(|h| h.counted.mark(now));
+        self.history.removed.clear();
+    }
+
+    /// Asks at a host for a node to be taken out everywhere, or put back. Whether the host runs.
+    pub fn drain(&mut self, host: usize, node: &str, out: bool) -> bool {
+        let now = self.now + self.hosts[host].ahead;
+        let asked = self.hosts[host].node.as_mut().map(|n| n.drain(now, node.to_string(), out, 10 * SECOND));
+        asked.is_some()
+    }
+
+    /// How long after a time a view of that number, or a later one, came into force at each broker that runs, in microseconds.
+    /// Of those where it did not, the number is given, too.
+    pub fn in_force_after(&self, number: u64, since: Time) -> (Vec<Time>, usize) {
+        let running: Vec<&Host> = self.hosts.iter().filter(|h| h.node.is_some()).collect();
+        let came: Vec<Time> = running.iter().filter_map(|h| h.counted.reached(number)).collect();
+        let missing = running.len() - came.len();
+        (came.into_iter().map(|at| (at - since).max(0)).collect(), missing)
+    }
+
+    /// A figure of each of some brokers.
+    pub fn spread(&self, hosts: &[usize], of: impl Fn(&Counted) -> f64) -> Spread {
+        Spread::of(hosts.iter().map(|h| of(&self.hosts[*h].counted)))
+    }
+
+    /// The brokers that run, voters and others.
+    pub fn running(&self) -> (Vec<usize>, Vec<usize>) {
+        let seats: BTreeSet<String> =
+            self.history.last().map(|v| v.seats.iter().map(|s| s.name.clone()).collect()).unwrap_or_default();
+        let running = (0..self.hosts.len()).filter(|h| self.hosts[*h].node.is_some());
+        running.partition(|h| seats.contains(&name(*h)))
     }
 }
