--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod nbd;
 pub mod rig;
 pub mod simulated;
+pub mod size;
 pub mod truth;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -8,9 +8,11 @@
 use claywinch_lab::load::{Class, Kind};
 use claywinch_lab::rig::{Came, Rig, Schedule, Times};
 use claywinch_lab::simulated::{name, Link};
+use claywinch_lab::size::Size;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Instant;
 
 #[derive(Parser)]
 #[command(version, about = "Stand-ins, load and experiments for claywinch")]
@@ -51,6 +53,30 @@
         #[arg(long, default_value = "docs/results/membership")]
         results: PathBuf,
     },
+    /// Plays the size in two years under a simulated clock: changes, failures and cuts in 7 regions with 17 zones.
+    Size {
+        /// How many brokers.
+        #[arg(long, default_value_t = 1_700)]
+        hosts: usize,
+        /// For all that is drawn.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Runs, one after another, each with a seed of its own.
+        #[arg(long, default_value_t = 3)]
+        runs: usize,
+        /// Bursts of 50 changes in 10 s.
+        #[arg(long, default_value_t = 4)]
+        bursts: usize,
+        /// Changes at the mean of a day.
+        #[arg(long, default_value_t = 10)]
+        changes: usize,
+        /// How often the leading voter is killed.
+        #[arg(long, default_value_t = 20)]
+        kills: usize,
+        /// The folder that results are kept in.
+        #[arg(long, default_value = "docs/results/scale/simulated")]
+        results: PathBuf,
+    },
     /// Five brokers of a cluster, one of which is cut off: what each of them thinks.
     ClusterDemo,
     /// Plays schedules of faults among the brokers of a cluster, and prints a timeline of what broke.
@@ -194,6 +220,17 @@
         }
         What::Membership { trials, results } => compare(&results, trials)
             .map_err(|reason| ExperimentError::Content(results.display().to_string(), reason)),
+        What::Size { hosts, seed, runs, bursts, changes, kills, results } => {
+            let (size, began) = (Size { hosts, seed, runs, bursts, changes, kills, results }, Instant::now());
+            let said = |text: &str| println!("{:7.1} s: {text}", began.elapsed().as_secs_f64());
+            let failed = |what: String| ExperimentError::Content("the size".to_string(), what);
+            let broken = size.play(said).map_err(|e| failed(e.to_string()))?;
+            println!("kept in {}", size.results.display());
+            match broken.len() {
+                0 => Ok(()),
+                count => Err(failed(format!("{count} broken, first {}", broken[0]))),
+            }
+        }
         What::ClusterDemo => cluster_demo(&arguments.broker).map_err(io("the rig".to_string())),
         What::Cluster { file } => {
             let text = std::fs::read_to_string(&file).map_err(io(file.display().to_string()))?;
--- a/crates/lab/src/simulated.rs
+++ b/crates/lab/src/simulated.rs
@@ -500,7 +500,7 @@
         self.until(SECOND / 10, most, |w| w.leader().is_some() && w.agree())?;
         self.waits = usize::MAX;
         let mut first = voters;
-        while self.now - from < most && !self.agree() {
+        while self.now - from < most && (first < hosts || !self.agree()) {
             let leader = self.leader()?;
             self.pause(leader, SECOND / 2);
             (first..hosts).for_each(|h| self.start(h));
