Give simulated brokers addresses as long as those of IPv4, so that bytes are as they would be

A view of 1,700 weighed 21 bytes a member with addresses like b001; a real one has some 15 bytes more. With a layout brokers are reached by addresses of full length.

--- a/crates/lab/src/simulated.rs
+++ b/crates/lab/src/simulated.rs
@@ -189,6 +189,8 @@
     silence: Time,
     /// Packets that wait at a paused broker; more are lost.
     waits: usize,
+    /// All are near one another, whatever the layout says.
+    near: bool,
     queue: BinaryHeap<Reverse<(Time, u64, usize)>>,
     events: Vec<Option<Event>>,
     free: Vec<usize>,
@@ -216,6 +218,7 @@
             voters,
             silence: 4 * SECOND,
             waits: MOST_WAITING,
+            near: false,
             queue: BinaryHeap::new(),
             events: Vec::new(),
             free: Vec::new(),
@@ -223,13 +226,33 @@
         }
     }
 
+    /// Where a host is reached: by its name or, where there is a layout, by an address as long as one of IPv4 is, so that bytes
+    /// are as they would be.
+    fn address(&self, host: usize) -> String {
+        match &self.layout {
+            Some(_) => format!("10.{}.{}.{}:7946", 100 + (host >> 16), host >> 8 & 255, host & 255),
+            None => name(host),
+        }
+    }
+
+    /// The host that is reached there.
+    fn host(&self, address: &str) -> Option<usize> {
+        if self.layout.is_none() {
+            return address.strip_prefix('b')?.parse().ok();
+        }
+        let (address, _) = address.split_once(':')?;
+        let numbers = address.split('.').skip(1).map(str::parse::<usize>);
+        let host = numbers.collect::<Result<Vec<_>, _>>().ok()?.into_iter().fold(0, |h, n| h << 8 | n);
+        host.checked_sub(100 << 16)
+    }
+
     /// What a host is told.
     pub fn settings(&self, host: usize) -> Settings {
         Settings {
             cluster: "sim".to_string(),
             name: name(host),
-            address: name(host),
-            seeds: (0..self.voters).map(name).collect(),
+            address: self.address(host),
+            seeds: (0..self.voters).map(|h| self.address(h)).collect(),
             probe: SECOND / 2,
             silence: self.silence,
             settle: SECOND / 2,
@@ -293,7 +316,10 @@
 
     /// The link from one host to another.
     pub fn between(&self, from: usize, to: usize) -> Link {
-        let laid = || self.layout.as_ref().map_or(self.link, |l| l.link(from, to));
+        let laid = || match &self.layout {
+            Some(layout) if !self.near => layout.link(from, to),
+            _ => self.link,
+        };
         self.links.get(&(from, to)).copied().unwrap_or_else(laid)
     }
 
@@ -416,7 +442,7 @@
     }
 
     fn send(&mut self, from: usize, to: &str, packet: Packet) {
-        let Some(to) = to.strip_prefix('b').and_then(|n| n.parse::<usize>().ok()) else { return };
+        let Some(to) = self.host(to) else { return };
         let counts = self.weighs || self.layout.is_some();
         let sizes: Vec<usize> =
             if counts { encode(&packet, self.number).iter().map(Vec::len).collect() } else { vec![0] };
@@ -494,7 +520,8 @@
     /// cluster, and all others ask at once. The leader reads what they ask in one turn, as a driver does that was busy,
     /// so that the crowd comes in few views. Gives how long it took; nothing if they do not agree within `most`.
     pub fn together(&mut self, most: Time) -> Option<Time> {
-        let (from, laid) = (self.now, self.layout.take());
+        let from = self.now;
+        self.near = true;
         let (hosts, voters) = (self.hosts.len(), self.voters);
         (0..voters).for_each(|h| self.start(h));
         self.until(SECOND / 10, most, |w| w.leader().is_some() && w.agree())?;
@@ -516,7 +543,7 @@
             self.until(SECOND / 10, 2 * SECOND, World::agree);
         }
         self.waits = MOST_WAITING;
-        self.layout = laid;
+        self.near = false;
         self.agree().then_some(self.now - from)
     }
 
