--- a/src/state/membership/node.rs
+++ b/src/state/membership/node.rs
@@ -73,7 +73,7 @@
 
 /// A voter's word: beyond the view of that number, these deltas, and these nodes that views take out which are not known to be
 /// committed yet, it has written down nothing that takes a node out.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Grant {
     /// The time of the question.
     pub at: Time,
