--- a/crates/lab/src/size.rs
+++ b/crates/lab/src/size.rs
@@ -57,7 +57,10 @@
     pub results: PathBuf,
 }
 
-/// One row of `runs.csv`, and those of `kinds.csv` of a phase.
+/// A figure of what one broker did.
+type Figure = fn(&Counted) -> u64;
+
+/// What `runs.csv` and `kinds.csv` are to hold.
 #[derive(Debug, Default)]
 struct Tables {
     runs: String,
@@ -135,7 +138,11 @@
         self.view = self.world.history.last().map_or(0, |v| v.number);
     }
 
+    /// A quantity of the phase; none of which there is no figure.
     fn row(&mut self, phase: &str, quantity: &str, unit: &str, s: Spread) {
+        if s.count == 0 {
+            return;
+        }
         let (run, size) = (self.run, self.world.hosts.len());
         // A string takes all that is written.
         let _ = writeln!(
@@ -154,7 +161,7 @@
     fn end(&mut self, phase: &str) {
         let time = seconds(self.world.now - self.since).max(0.001);
         let (voters, others) = self.world.running();
-        let of: [(&str, fn(&Counted) -> u64); 4] = [
+        let of: [(&str, Figure); 4] = [
             ("bytes_out_s", |c| c.all().bytes),
             ("bytes_in_s", |c| c.read.bytes),
             ("datagrams_out_s", |c| c.all().datagrams),
@@ -202,7 +209,7 @@
         let mut asked = Vec::new();
         for i in 0..count {
             let node = format!("{NODE}-{}", self.nodes % 256);
-            let out = self.nodes / 256 % 2 == 0;
+            let out = (self.nodes / 256).is_multiple_of(2);
             self.nodes += 1;
             let last = self.world.history.last().map_or(0, |v| v.number);
             self.world.drain(running[(i * 611 + 7) % running.len()], &node, out);
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -158,3 +158,43 @@
     w.run(12 * SECOND);
     assert!(w.history.broken.iter().any(|b| b.1.contains("long over")), "{:?}", w.history.broken);
 }
+
+/// Guards against voters that share what fails at once, ways out of their bounds, and a cut that passes or cuts too much.
+#[test]
+fn a_layout_spreads_the_voters_and_a_cut_takes_just_its_area_and_direction() {
+    let mut l = Layout::in_two_years(1_700).unwrap();
+    let regions: BTreeSet<usize> = (0..VOTERS).map(|h| l.place(h).unwrap().region).collect();
+    let zones: BTreeSet<usize> = (0..1_700).map(|h| l.place(h).unwrap().zone).collect();
+    assert_eq!((regions.len(), zones.len()), (VOTERS, 17));
+    assert!((0..17).all(|z| l.hosts(Area::Zone(z)).len() == 100));
+    assert_eq!(l.hosts(Area::Rack(0)).len(), 24);
+    let mut between: BTreeSet<(Time, Time)> = BTreeSet::new();
+    for (a, b) in (0..1_700).flat_map(|a| (0..40).map(move |b| (a, b))) {
+        let (from, to, way) = (l.place(a).unwrap(), l.place(b).unwrap(), l.link(a, b).delay);
+        match (from.zone == to.zone, from.region == to.region) {
+            (true, _) => assert_eq!(way, (100, 600)),
+            (_, true) => assert_eq!(way, (1_000, 3_000)),
+            _ => drop(between.insert(way)),
+        }
+        assert_eq!(l.link(b, a).delay, way);
+    }
+    assert_eq!(between.len(), 21, "a way for each pair of regions");
+    assert!(between.first().unwrap().0 == 20_000 && between.iter().all(|w| w.1 <= 300_000), "{between:?}");
+    let area = Area::Region(2);
+    let (inside, outside) = (l.hosts(area), (0..1_700).filter(|h| l.place(*h).unwrap().region != 2));
+    let (outside, passes) = (outside.collect::<Vec<_>>(), |l: &Layout, a, b| l.link(a, b).loss < 1.0);
+    for (direction, into, out) in
+        [(Direction::In, false, true), (Direction::Out, true, false), (Direction::Both, false, false)]
+    {
+        l.cut(area, direction);
+        for (a, b) in inside.iter().flat_map(|a| outside.iter().step_by(7).map(move |b| (*a, *b))) {
+            assert_eq!((passes(&l, b, a), passes(&l, a, b)), (into, out), "{direction:?} {a} {b}");
+        }
+        assert!(passes(&l, inside[0], inside[9]) && passes(&l, outside[0], outside[9]));
+        l.mend(area);
+        assert!(passes(&l, inside[0], outside[0]) && passes(&l, outside[0], inside[0]));
+    }
+    assert!(
+        Layout::new(10, 0, 0).is_err() && Layout::new(10, 3, 2).is_err() && Layout::new(4, 3, 5).is_err()
+    );
+}
