--- a/crates/lab/src/scale/file.rs
+++ b/crates/lab/src/scale/file.rs
@@ -270,7 +270,7 @@
             return refuse("name", "letters, digits, -, _ and . alone");
         }
         let sizes = [("hollow", self.hollow), ("hosts", self.hosts), ("voters", self.voters)];
-        for (key, size) in sizes.into_iter().filter(|(_, size)| *size == 0) {
+        if let Some((key, size)) = sizes.into_iter().find(|(_, size)| *size == 0) {
             return refuse(key, format!("{size}: one at least"));
         }
         if self.seconds == 0 {
--- a/crates/lab/src/scale/relay.rs
+++ b/crates/lab/src/scale/relay.rs
@@ -287,6 +287,13 @@
 }
 
 impl Lane {
+    fn take_some(&mut self, socket: &tokio::net::UdpSocket, to: usize) {
+        for _ in 0..AT_ONCE {
+            let Ok((n, from)) = socket.try_recv_from(&mut self.buffer) else { return };
+            self.take(n, from, to);
+        }
+    }
+
     fn take(&mut self, n: usize, from: SocketAddr, to: usize) {
         let SocketAddr::V4(from) = from else { return };
         let sender = usize::from(from.port().wrapping_sub(FIRST_PORT));
@@ -361,12 +368,7 @@
             let lane = lane.clone();
             tokio::task::spawn_local(async move {
                 while socket.readable().await.is_ok() {
-                    let mut lane = lane.borrow_mut();
-                    for _ in 0..AT_ONCE {
-                        let Ok((n, from)) = socket.try_recv_from(&mut lane.buffer) else { break };
-                        lane.take(n, from, to);
-                    }
-                    drop(lane);
+                    lane.borrow_mut().take_some(&socket, to);
                     tokio::task::yield_now().await;
                 }
             });
--- a/crates/lab/src/scale/results.rs
+++ b/crates/lab/src/scale/results.rs
@@ -34,6 +34,15 @@
     ("views_broken", "Views that split, went back or brought an old incarnation."),
 ];
 
+/// What stands in a line of its own for each phase and role: the quantity, its head, and digits behind the point.
+const RATES: [(&str, &str, usize); 5] = [
+    ("cpu_share", "cpu_share %", 3),
+    ("bytes_out_s", "bytes_out_s", 0),
+    ("bytes_in_s", "bytes_in_s", 0),
+    ("datagrams_out_s", "datagrams_out_s", 1),
+    ("memory_kb", "memory_kb", 0),
+];
+
 /// A row: one quantity of one phase.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Row {
@@ -123,17 +132,38 @@
 }
 
 impl Came {
-    /// The table, and what its lines mean.
+    /// The tables, and what their lines mean.
     pub fn table(&self) -> String {
         let mut text = format!("{} hollow brokers, {} real ones\n\n", self.hollow, self.real);
+        let rate = |phase: &str, role: &str, quantity: &str| {
+            let row = |r: &&Row| (r.phase.as_str(), r.role, r.quantity) == (phase, role, quantity);
+            self.rows.iter().find(row)
+        };
+        text += &format!("{:<16} {:<7}", "phase", "whose");
+        RATES.iter().for_each(|(_, head, _)| text += &format!(" {head:>19}"));
+        text += "   (median / worst)\n";
+        for first in self.rows.iter().filter(|r| r.quantity == RATES[0].0) {
+            text += &format!("{:<16} {:<7}", first.phase, first.role);
+            for (quantity, _, digits) in RATES {
+                let cell = rate(&first.phase, first.role, quantity)
+                    .map(|r| format!("{:.digits$} / {:.digits$}", r.median, r.worst));
+                text += &format!(" {:>19}", cell.unwrap_or_else(|| "-".to_string()));
+            }
+            text += if first.void { "  VOID\n" } else { "\n" };
+        }
         text += &format!(
-            "{:<16} {:<7} {:<16} {:>12} {:>12} {:>12} {:>8}  unit\n",
+            "\n{:<16} {:<7} {:<16} {:>10} {:>10} {:>10} {:>8}  unit   (what is not shown is 0)\n",
             "phase", "whose", "quantity", "median", "p99", "worst", "count"
         );
-        for r in &self.rows {
+        let rates: BTreeSet<&str> = RATES.iter().map(|(q, ..)| *q).collect();
+        let told = |r: &&Row| {
+            !rates.contains(r.quantity) && !r.quantity.starts_with("datagrams") && r.worst > 0.0
+                || r.phase == "whole"
+        };
+        for r in self.rows.iter().filter(told) {
             let void = if r.void { "  VOID" } else { "" };
             text += &format!(
-                "{:<16} {:<7} {:<16} {:>12.3} {:>12.3} {:>12.3} {:>8}  {}{void}\n",
+                "{:<16} {:<7} {:<16} {:>10.1} {:>10.1} {:>10.1} {:>8}  {}{void}\n",
                 r.phase, r.role, r.quantity, r.median, r.p99, r.worst, r.count, r.unit
             );
         }
--- a/crates/lab/src/scale/run.rs
+++ b/crates/lab/src/scale/run.rs
@@ -749,7 +749,10 @@
         }
         rows.iter_mut().for_each(|r| r.void = !void.is_empty());
         if phase == "idle" {
-            self.honest(&rows, off, seconds);
+            let hosts = self.hosts.iter().filter(|h| !h.voter).map(|h| h.brokers.len() as f64);
+            let shares = cpu.get("broker").cloned().unwrap_or_default();
+            let (all, spent) = hosts.zip(shares).fold((0.0, 0.0), |(n, sum), (h, s)| (n + h, sum + h * s));
+            self.honest(&rows, spent / all, off, seconds);
         }
         self.came.void.extend(void);
         self.came.rows.extend(rows);
@@ -800,7 +803,7 @@
     }
 
     /// Sets hollow ones beside real ones.
-    fn honest(&mut self, rows: &[Row], off: f64, seconds: f64) {
+    fn honest(&mut self, rows: &[Row], hollow_cpu: f64, off: f64, seconds: f64) {
         if self.file.real == 0 {
             return;
         }
@@ -812,7 +815,9 @@
             if quantity == "cpu_share" && self.file.controls == 0 {
                 continue;
             }
-            if let Some((hollow, real)) = of("broker", quantity).zip(of("real", quantity)) {
+            // Of hosts that are few, the mean by broker.
+            let hollow = if quantity == "cpu_share" { Some(hollow_cpu) } else { of("broker", quantity) };
+            if let Some((hollow, real)) = hollow.zip(of("real", quantity)) {
                 self.came.honest.push((quantity, hollow, real, real / hollow));
             }
         }
