--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod meter;
 pub mod nbd;
 pub mod rig;
+pub mod scale;
 pub mod simulated;
 pub mod size;
 pub mod slopes;
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -430,8 +430,9 @@
     history
 }
 
-/// The view of a log line, if it tells of one: what the line changes of the last, or all of it.
-fn view_of(last: &View, line: &str) -> Option<View> {
+/// The view of a log line, if it tells of one: what the line changes of the last, or all of it, as programs from before there
+/// were deltas do.
+pub(crate) fn view_of(last: &View, line: &str) -> Option<View> {
     let field = |key: &str| {
         let rest = line.split_once(&format!(" {key}="))?.1;
         Some(rest.split_whitespace().next()?.trim_matches('"').to_string())
@@ -439,7 +440,21 @@
     let list = |key: &str| -> Option<Vec<String>> {
         Some(field(key)?.split(',').filter(|t| !t.is_empty()).map(str::to_string).collect())
     };
-    let after: u64 = field("after")?.parse().ok()?;
+    let Some(after) = field("after") else {
+        let member = |text: &String| {
+            let (name, incarnation) = text.split_once('/')?;
+            let (name, incarnation) = (name.to_string(), incarnation.parse().ok()?);
+            Some(Member { name, address: String::new(), incarnation, life: 0 })
+        };
+        return Some(View {
+            number: field("view")?.parse().ok()?,
+            origin: field("origin")?.parse().ok()?,
+            members: list("members")?.iter().map(member).collect::<Option<_>>()?,
+            drains: list("drains")?.into_iter().collect(),
+            ..View::default()
+        });
+    };
+    let after: u64 = after.parse().ok()?;
     let mut view = if after == 0 { View::default() } else { last.clone() };
     // One that does not follow shows as a view that another has otherwise.
     view.number = field("view")?.parse().ok()?;
