Play a cluster of hollow brokers beside real ones, with regions between them

`claywinch-lab scale FILE.toml` starts the program's own driver many times in a few processes (`claywinch-lab hollow`), real brokers beside them, and a relay between all that delays, loses, cuts and counts datagrams by sender, receiver and kind.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 MODULE_LINES ?= 950
 MODULE_WIDTH ?= 110
 
-.PHONY: build test lint run module-length lab demo cluster
+.PHONY: build test lint run module-length lab demo cluster scale
 
 build:
 	cargo build --release --locked
@@ -36,3 +36,7 @@
 # Five brokers of a cluster, one of which is cut off: what each of them thinks.
 cluster: build lab
 	target/release/claywinch-lab cluster-demo
+
+# 30 hollow brokers and 3 real ones in five regions, faults between them: what control costs, and what it does then.
+scale: build lab
+	target/release/claywinch-lab scale crates/lab/scale/small.toml
--- a/crates/lab/src/chart.rs
+++ b/crates/lab/src/chart.rs
@@ -61,3 +61,41 @@
     };
     draw().map_err(|e| e.to_string())
 }
+
+/// Curves over two axes, each with points of its own.
+pub fn lines(
+    path: &Path,
+    title: &str,
+    (x, y): (&str, &str),
+    curves: &[(String, Vec<(f64, f64)>)],
+) -> Result<(), String> {
+    let all = || curves.iter().flat_map(|(_, points)| points);
+    let most_x = all().map(|p| p.0).fold(1.0, f64::max);
+    let most_y = all().map(|p| p.1).fold(0.001, f64::max) * 1.1;
+    let draw = || -> Result<(), Box<dyn std::error::Error>> {
+        let area = SVGBackend::new(path, SIZE).into_drawing_area();
+        area.fill(&WHITE)?;
+        let mut chart = ChartBuilder::on(&area)
+            .caption(title, ("sans-serif", 20))
+            .margin(16)
+            .x_label_area_size(44)
+            .y_label_area_size(72)
+            .build_cartesian_2d(0.0..most_x, 0.0..most_y)?;
+        chart.configure_mesh().x_desc(x).y_desc(y).draw()?;
+        for ((name, points), colour) in curves.iter().zip(COLOURS.iter().cycle()) {
+            chart
+                .draw_series(LineSeries::new(points.iter().copied(), colour.stroke_width(2)).point_size(3))?
+                .label(name.clone())
+                .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 18, y)], colour.stroke_width(2)));
+        }
+        chart
+            .configure_series_labels()
+            .position(SeriesLabelPosition::UpperLeft)
+            .background_style(WHITE.mix(0.8))
+            .border_style(BLACK)
+            .draw()?;
+        area.present()?;
+        Ok(())
+    };
+    draw().map_err(|e| e.to_string())
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod load;
 pub mod nbd;
 pub mod rig;
+pub mod scale;
 pub mod simulated;
 pub mod truth;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,6 +7,9 @@
 use claywinch_lab::experiment::{Arm, Experiment, ExperimentError};
 use claywinch_lab::load::{Class, Kind};
 use claywinch_lab::rig::{Came, Rig, Schedule, Times};
+use claywinch_lab::scale::file::{File, Other};
+use claywinch_lab::scale::run::{self as scale_run, Hosts, Means};
+use claywinch_lab::scale::ScaleError;
 use claywinch_lab::simulated::{name, Link};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -58,6 +61,35 @@
         /// The file that says what is played.
         file: PathBuf,
     },
+    /// Plays one cluster of hollow brokers, many in a process, beside real ones, with regions between them.
+    Scale {
+        /// The file that says what is played.
+        file: PathBuf,
+        /// Another build of this program, as host of the hollow brokers.
+        #[arg(long)]
+        hollow: Option<PathBuf>,
+        /// How many hollow brokers, in the place of what the file says.
+        #[arg(long)]
+        hollow_count: Option<usize>,
+        /// How many processes host them, in the place of what the file says.
+        #[arg(long)]
+        hosts: Option<usize>,
+        /// How many real brokers, in the place of what the file says.
+        #[arg(long)]
+        real: Option<usize>,
+        /// What the results call the program that was run.
+        #[arg(long, default_value = "this")]
+        arm: String,
+        /// The folder below which results are kept; without it, nothing is kept.
+        #[arg(long)]
+        results: Option<PathBuf>,
+        /// How often it is played.
+        #[arg(long, default_value_t = 1)]
+        runs: u64,
+    },
+    /// Hosts hollow brokers, as it is told by its standard input.
+    #[command(hide = true)]
+    Hollow,
     /// Plays an experiment and keeps its tables and charts.
     Experiment {
         /// The file that says what is played.
@@ -224,6 +256,44 @@
             }
             Ok(())
         }
+        What::Scale { file, hollow, hollow_count, hosts, real, arm, results, runs } => {
+            let scale =
+                |error: ScaleError| ExperimentError::Content(file.display().to_string(), error.to_string());
+            let other = Other { hollow: hollow_count, hosts, real };
+            let played = File::read(&file, other).map_err(scale)?;
+            let program = hollow.unwrap_or_else(scale_run::own_program);
+            let stop = claywinch_lab::scale::told_to_end().map_err(scale)?;
+            let mut bad = 0;
+            for run in 1..=runs {
+                let begun = std::time::Instant::now();
+                let mut told = |text: &str| println!("{:8.2} s  {text}", begun.elapsed().as_secs_f64());
+                let means = Means {
+                    broker: arguments.broker.clone(),
+                    hosts: Hosts::Processes(program.clone()),
+                    folder: scale_run::folder(),
+                    stop: stop.clone(),
+                };
+                println!("{}, run {run} of {runs}, {arm}", played.name);
+                let came = scale_run::play(&played, &means, &mut told).map_err(scale)?;
+                println!("\n{}", came.table());
+                if let Some(results) = &results {
+                    println!("kept in {}", came.keep(results, &played.name, &arm).map_err(scale)?.display());
+                }
+                bad += came.broken.len();
+            }
+            if bad > 0 {
+                return Err(ExperimentError::Content(
+                    file.display().to_string(),
+                    "something broke".to_string(),
+                ));
+            }
+            Ok(())
+        }
+        What::Hollow => {
+            claywinch_lab::scale::host::log_to_nowhere();
+            let host = claywinch_lab::scale::host::run(std::io::stdin(), std::io::stdout());
+            host.map_err(|e| ExperimentError::Content("hollow".to_string(), e.to_string()))
+        }
         What::Experiment { file, results } => {
             let experiment = Experiment::read(&file)?;
             let played = experiment.play(&arguments.broker)?;
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -424,7 +424,7 @@
 }
 
 /// The view of a log line, if it tells of one.
-fn view_of(line: &str) -> Option<View> {
+pub(crate) fn view_of(line: &str) -> Option<View> {
     let field = |key: &str| {
         let rest = line.split_once(&format!(" {key}="))?.1;
         Some(rest.split_whitespace().next()?.trim_matches('"').to_string())
