--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -4,6 +4,7 @@
 use claywinch_lab::scale::file::{File, Other};
 use claywinch_lab::scale::host::Whole;
 use claywinch_lab::scale::relay::between;
+use claywinch_lab::scale::results::{Came, KindRow, Row, RUNS};
 use claywinch_lab::scale::run::{folder, play, Hosts, Means};
 use claywinch_lab::scale::usage::Machine;
 use std::collections::{BTreeMap, BTreeSet};
@@ -224,3 +225,29 @@
     seen.changes.push(Change { node: "m".to_string(), out: true, asked: at - S, acked: Some(at - S) });
     assert_eq!(seen.in_force_times(1..2, |name, _| name == "b0004"), [Some(S)]);
 }
+
+/// Guards against results that are written over, lose their run's number, or cannot be drawn.
+#[test]
+fn results_of_several_runs_stand_in_one_table_with_their_plots() {
+    let results = folder();
+    for (hollow, share) in [(30, 0.2), (30, 0.3), (60, 0.4)] {
+        let mut came = Came { hollow, real: 3, ..Came::default() };
+        came.rows.push(Row::of("idle", "broker", "cpu_share", "%", &[share, 0.9]));
+        let kind = KindRow {
+            phase: "idle".to_string(),
+            kind: "probe".to_string(),
+            datagrams_s: 16.0,
+            bytes_s: 900.0,
+        };
+        came.kinds.push(kind);
+        came.keep(&results, "t", "this").expect("is kept");
+    }
+    let read = |file: &str| std::fs::read_to_string(results.join("scale/t").join(file)).expect(file);
+    let lines: Vec<String> = read("runs.csv").lines().map(str::to_string).collect();
+    assert_eq!(lines[0], RUNS);
+    assert_eq!(lines[1], "this,1,33,30,3,idle,broker,cpu_share,%,0.2000,0.9000,0.9000,2,false");
+    assert!(lines[2].starts_with("this,2,33,") && lines[3].starts_with("this,1,63,"), "{lines:?}");
+    assert_eq!(read("kinds.csv").lines().count(), 4);
+    assert!(read("cpu_share-by-size.svg").contains("polyline"));
+    std::fs::remove_dir_all(results).expect("goes");
+}
