Let deltas wait for those they follow, and let voters serve by themselves

Cause of the first: at 850 brokers started at once (hollow, 7 regions, ways to 300 ms, 2% loss) 124 healthy ones were left out. A delta that did not follow was dropped, so who asked for what it lacked was behind again when the answer came, as long as views follow one another faster than a way there and back; one that was taken in and did not learn of it answers no probes. Now up to 128 early deltas wait for those before them. Test: many that come at once over slow links.

claywinch voter FILE takes part in a cluster and serves no clients, for the machines that are set aside; a lost seat goes to a free machine of the seeds first. Test: voters without clients found, grant, and a spare one takes a seat (tests/cluster.rs).

--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -226,10 +226,21 @@
 
     /// Starts a broker with what it kept.
     pub fn start(&mut self, broker: usize) -> io::Result<()> {
+        self.run(broker, &[])
+    }
+
+    /// Starts a voter that serves no clients, with what it kept. It has no operators' address.
+    pub fn start_voter(&mut self, broker: usize) -> io::Result<()> {
+        let file = self.places[broker].folder.join("cluster.toml");
+        self.run(broker, &["voter".as_ref(), file.as_os_str()])
+    }
+
+    fn run(&mut self, broker: usize, arguments: &[&std::ffi::OsStr]) -> io::Result<()> {
         self.note(format!("start {}", name(broker)));
         let place = &mut self.places[broker];
         let log = std::fs::OpenOptions::new().create(true).append(true).open(place.folder.join("log"))?;
         let child = Command::new(&self.program)
+            .args(arguments)
             .env("RELAY_CONFIG", place.folder.join("config.json"))
             .env("CLAYWINCH_CLUSTER", place.folder.join("cluster.toml"))
             .env("TMPDIR", &place.folder)
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,10 +2,12 @@
 #![forbid(unsafe_code)]
 
 use clap::Parser;
-use claywinch::run::commands::Arguments;
-use claywinch::run::config::Config;
+use claywinch::run::cluster::File;
+use claywinch::run::commands::{Arguments, Command};
+use claywinch::run::config::{Config, ConfigError};
 use claywinch::run::error::StartError;
-use claywinch::run::{passed, start};
+use claywinch::run::{passed, start, voter};
+use std::future::Future;
 use std::process::ExitCode;
 use tracing_appender::non_blocking::NonBlockingBuilder;
 use tracing_subscriber::EnvFilter;
@@ -16,29 +18,36 @@
 fn main() -> ExitCode {
     // Before any thread runs, since it sets variables.
     let passed = passed::take(|name| std::env::var(name).ok());
-    if let Some(command) = Arguments::parse().command {
-        return match command.run(&mut std::io::stdout().lock()) {
-            Ok(()) => ExitCode::SUCCESS,
-            Err(error) => {
-                eprintln!("{error}");
-                ExitCode::FAILURE
-            }
-        };
-    }
+    let alone = match Arguments::parse().command {
+        None => None,
+        Some(Command::Voter { file }) => Some(file),
+        Some(Command::Integrity(command)) => {
+            return match command.run(&mut std::io::stdout().lock()) {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(error) => {
+                    eprintln!("{error}");
+                    ExitCode::FAILURE
+                }
+            };
+        }
+    };
     let filter = EnvFilter::try_from_env("CLAYWINCH_LOG").unwrap_or_else(|_| EnvFilter::new("info"));
     // A reader of the log that falls behind must not hold up answers: lines are written by a thread of their
     // own, and lost where it cannot keep up. Those that wait count as memory.
     let (log, _flushed_at_the_end) =
         NonBlockingBuilder::default().buffered_lines_limit(LOG_LINES).finish(std::io::stderr());
     tracing_subscriber::fmt().with_env_filter(filter).with_ansi(false).with_writer(log).init();
-    let outcome =
-        Config::from_env(|name| std::env::var(name).ok()).map_err(StartError::from).and_then(|config| {
-            let passed = passed?;
-            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-            let runtime = runtime
-                .map_err(|error| StartError::Io { what: "starting the runtime".to_string(), error })?;
-            tokio::task::LocalSet::new().block_on(&runtime, start::run(config, passed))
-        });
+    let outcome = match alone {
+        Some(file) => File::read(&file)
+            .map_err(|e| ConfigError::Cluster(e).into())
+            .and_then(|file| within(voter::run(file))),
+        None => {
+            Config::from_env(|name| std::env::var(name).ok()).map_err(StartError::from).and_then(|config| {
+                let passed = passed?;
+                within(start::run(config, passed))
+            })
+        }
+    };
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -47,3 +56,11 @@
         }
     }
 }
+
+/// Runs what is started until it ends, on this thread.
+fn within(run: impl Future<Output = Result<(), StartError>>) -> Result<(), StartError> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime =
+        runtime.map_err(|error| StartError::Io { what: "starting the runtime".to_string(), error })?;
+    tokio::task::LocalSet::new().block_on(&runtime, run)
+}
--- a/src/run/commands.rs
+++ b/src/run/commands.rs
@@ -30,6 +30,11 @@
     /// Checksums of exports.
     #[command(subcommand)]
     Integrity(Integrity),
+    /// Votes in the cluster of a file, and serves no clients: for a machine that is set aside for control.
+    Voter {
+        /// The cluster's file, such as deploy/cluster.toml.
+        file: String,
+    },
 }
 
 /// What can be asked about checksums.
@@ -66,11 +71,10 @@
     Teller(String, TellerError),
 }
 
-impl Command {
+impl Integrity {
     /// Does it; what is to be printed goes to `out`.
     pub fn run(self, out: &mut impl Write) -> Result<(), CommandError> {
-        let Command::Integrity(command) = self;
-        match command {
+        match self {
             Integrity::Check { file } => check(&file, out),
             Integrity::List { address, export } => list(&address, &export, out),
         }
--- a/src/run/mod.rs
+++ b/src/run/mod.rs
@@ -15,3 +15,4 @@
 pub mod settings;
 pub mod start;
 pub mod tuning;
+pub mod voter;
--- a/src/state/membership/node.rs
+++ b/src/state/membership/node.rs
@@ -29,6 +29,8 @@
 const MOST_BROUGHT: usize = 8 * PAGE;
 /// Most bytes of names that join in one view; more wait for the next.
 const MOST_JOINED: usize = 16 * PAGE;
+/// Deltas that wait for those that they follow; while a broker catches up others go on.
+const MOST_EARLY: usize = 128;
 /// A snapshot is kept for those who fetch it for so long after a page of it was asked for.
 const SERVED: Time = 10_000_000;
 /// Joins that wait for a view; more are dropped, and asked again.
@@ -145,6 +147,8 @@
     incarnation: u64,
     view: Arc<View>,
     deltas: Deltas,
+    /// Deltas that have come before those that they follow, by the view that they follow. Ends with the view that passes them.
+    early: BTreeMap<u64, Arc<Delta>>,
     served: Option<(Served, Time)>,
     fetch: Option<Fetch>,
     /// Someone with a later view, who is asked for it unless it comes until then.
@@ -200,6 +204,7 @@
             incarnation: 0,
             view: Arc::default(),
             deltas: Deltas::default(),
+            early: BTreeMap::new(),
             served: None,
             fetch: None,
             behind: None,
@@ -532,14 +537,19 @@
         }
     }
 
-    /// Follows deltas as far as they lead on from here, and hands on what was new.
+    /// Follows deltas as far as they lead on from here, and hands on what was new. Those that lead on from later views wait.
     fn changes(&mut self, now: Time, changes: &[Arc<Delta>], from: &str) {
         let mut new = Vec::new();
-        for delta in changes {
-            if self.follow(now, delta) {
-                new.push(delta.clone());
+        let later = |d: &&Arc<Delta>| d.after >= self.view.number;
+        self.early.extend(changes.iter().filter(later).map(|d| (d.after, d.clone())));
+        while let Some(delta) = self.early.remove(&self.view.number) {
+            if self.follow(now, &delta) {
+                new.push(delta);
             }
         }
+        while self.early.len() > MOST_EARLY {
+            self.early.pop_last();
+        }
         if !new.is_empty() && new.len() <= MOST_PUSHED {
             let near: Vec<String> = self.edges.near().filter(|a| *a != from).map(str::to_string).collect();
             near.iter().for_each(|to| self.send(to, Body::Changes(new.clone())));
@@ -612,6 +622,7 @@
             None => self.deltas.clear(),
         }
         (self.behind, self.astray) = (None, false);
+        self.early.retain(|after, _| *after >= self.view.number);
         self.drains.retain(|node, out| self.view.drains.contains(node) != *out);
         self.wishes.retain(|node, (out, _)| self.view.drains.contains(node) != *out);
         if delta.as_ref().is_none_or(|d| d.seats.is_some()) {
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -227,3 +227,40 @@
 fn without_leases_it_is_not_kept() {
     assert!(drained("unleased", true).1 > 0);
 }
+
+/// Guards against voters by themselves that do not found, grant or leave as brokers with a seat do, and against a seat that goes
+/// to a broker while a machine that was set aside for it is free.
+#[test]
+fn voters_without_clients_found_the_cluster_and_grant_leases_and_a_spare_one_takes_a_lost_seat() {
+    let folder = std::env::temp_dir().join(format!("claywinch-cluster-voters-{}", std::process::id()));
+    let program = Path::new(env!("CARGO_BIN_EXE_claywinch"));
+    // Four machines set aside, three of which vote.
+    let mut rig = Rig::new(program, &folder, 6, 4, TIMES).expect("a rig");
+    (0..3).for_each(|b| rig.start_voter(b).expect("starts"));
+    (4..6).for_each(|b| rig.start(b).expect("starts"));
+    let together = |r: &Rig, all: &[usize]| {
+        let names = all.iter().map(|b| name(*b)).collect();
+        [4, 5].iter().all(|b| r.said(*b).is_some_and(|s| s.phase == "member" && s.names() == names))
+    };
+    holds(&rig, "they come together", |r| together(r, &[0, 1, 2, 4, 5]));
+    // The spare one comes last: every broker has been there for longer.
+    rig.start_voter(3).expect("starts");
+    holds(&rig, "the spare one, too", |r| together(r, &[0, 1, 2, 3, 4, 5]));
+    assert!(!rig.said(4).expect("answers").leads && !rig.said(5).expect("answers").leads);
+    rig.kill(1).expect("kills");
+    let seats = |r: &Rig| {
+        let log = r.log(4);
+        let voters = log.lines().rev().find_map(|l| l.split_once("voters=\"")?.1.split('"').next());
+        let names = voters
+            .unwrap_or_default()
+            .split(',')
+            .filter_map(|seat| Some(seat.split_once('=')?.1.to_string()));
+        names.collect::<std::collections::BTreeSet<_>>()
+    };
+    let wanted = [0, 2, 3].map(name).into();
+    assert!(rig.within(OUT + OUT, |r| seats(r) == wanted), "{:?}\n{}", seats(&rig), rig.timeline());
+    // It votes: with it and one more a change is agreed on.
+    rig.stop(0).expect("stops");
+    holds(&rig, "one that stops has left", |r| together(r, &[2, 3, 4, 5]));
+    sound(&rig);
+}
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -562,3 +562,22 @@
     assert_eq!(w.hosts[30].out.len(), 600);
     sound(&w);
 }
+
+/// Guards against brokers that never catch up while views follow one another faster than they can ask: many come at once, over
+/// slow links, and none that lives is left out.
+#[test]
+fn many_that_come_at_once_over_slow_links_all_belong_and_stay() {
+    let mut w = together(53, 6, 5);
+    w.link = Link { loss: 0.02, delay: (20_000, 300_000), twice: 0.0 };
+    for host in 6..400 {
+        w.hosts.push(Default::default());
+        w.start(host);
+        if host % 8 == 0 {
+            w.run(SECOND / 10);
+        }
+    }
+    w.run(20 * SECOND);
+    assert_eq!(out(&w), BTreeSet::new());
+    assert!(w.agree(), "{:?}", w.phases().iter().filter(|p| p.1 != Phase::Member).count());
+    sound(&w);
+}
