--- a/src/state/membership/delta.rs
+++ b/src/state/membership/delta.rs
@@ -3,7 +3,7 @@
 
 use super::{mix, Member, Name, Seat, View};
 use serde::{Deserialize, Serialize};
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::sync::Arc;
 
 /// Bytes that a delta takes beside its names, about.
@@ -86,11 +86,9 @@
         next.number = delta.number();
         if delta.moves() {
             // Of one that comes in the place of a former life the former one goes.
-            let goes = |m: &Member| {
-                let name = |n: &Name| *n == m.name;
-                delta.gone.iter().any(name) || delta.joined.iter().any(|j| name(&j.name))
-            };
-            next.members.retain(|m| !goes(m));
+            let names = delta.gone.iter().chain(delta.joined.iter().map(|j| &j.name));
+            let goes: BTreeSet<&Name> = names.collect();
+            next.members.retain(|m| !goes.contains(&m.name));
             next.members.extend(delta.joined.iter().cloned());
             next.members.sort_by(|a, b| a.name.cmp(&b.name));
         }
