--- a/src/interface.rs
+++ b/src/interface.rs
@@ -286,6 +286,8 @@
     /// The part of this host's part of all limits that this process may spend from now on, from 0 to 1. Less than 1
     /// while two processes are one host.
     Part(f64),
+    /// How late this host runs, in microseconds: how long what is due has waited to be looked at.
+    Late(Time),
     /// Whether nothing may be sent to any node until further notice: what is known of the nodes may be out of date.
     Suspended(bool),
     /// New settings, from now on. A class that requests are open under stands in its place, unchanged.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -9,11 +9,13 @@
 
 mod fleet;
 mod node;
+mod overload;
 mod waiting;
 
 use crate::interface::*;
 use fleet::{hash, Fleet};
 use node::{Bucket, Node, Pace, MEMORY, SECOND, STRIKES};
+use overload::Overload;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use waiting::{Rank, Waiting};
@@ -153,8 +155,11 @@
     kept: BTreeSet<ShardId>,
     /// Nothing may be sent to any node.
     suspended: bool,
+    overload: Overload,
     /// Entries of the agenda and heads of queues that were looked at.
     looks: u64,
+    /// Requests refused because this host ran late.
+    shed: u64,
     volumes: BTreeMap<String, Volume>,
     lines: BTreeMap<String, Line>,
     agenda: BTreeSet<(Time, Wake)>,
@@ -194,6 +199,11 @@
         self.queues.values().map(Waiting::len).sum()
     }
 
+    /// How many requests were refused since the start because this host ran late.
+    pub fn shed(&self) -> u64 {
+        self.shed
+    }
+
     /// What was looked at since the start: nodes, places of the ring, entries of the agenda and heads of queues. It
     /// grows with what happens, not with the fleet, and is the same on any machine.
     pub fn work(&self) -> u64 {
@@ -206,7 +216,7 @@
         for event in events {
             match event {
                 Event::Nodes(kind, list) => self.list(now, kind, list, acts),
-                Event::Request(arrival) => self.take(now, arrival),
+                Event::Request(arrival) => self.take(now, arrival, acts),
                 Event::Outcome(outcome) => self.outcome(now, outcome, acts),
                 Event::Gone(id) => self.finish(now, id, acts),
                 Event::Body(id, due, spent) => {
@@ -223,6 +233,7 @@
                     self.set = *set;
                 }
                 Event::Suspended(suspended) => self.suspended = suspended,
+                Event::Late(late) => self.overload.note(now, late),
                 Event::Timer | Event::Probed(..) => {} // What is due stands in the agenda.
             }
         }
@@ -328,9 +339,14 @@
         }
     }
 
+    /// The shortest time within which any class is wanted.
+    fn tightest_aim(&self) -> Time {
+        self.set.classes.iter().map(|c| c.aim).min().unwrap_or(SECOND)
+    }
+
     // ---- Taking a request.
 
-    fn take(&mut self, now: Time, a: Arrival) {
+    fn take(&mut self, now: Time, a: Arrival, acts: &mut Vec<Action>) {
         self.taken.push_back(now);
         if a.class >= self.set.classes.len()
             || a.plan >= self.set.plans.len()
@@ -338,6 +354,12 @@
         {
             return; // The adapter names only classes and plans of the settings, and each number once.
         }
+        if let Some(wait) = self.overload.refuses(now, self.tightest_aim()) {
+            // Nothing has been sent of it yet: refusing is harmless now, and may not be later.
+            self.shed += 1;
+            acts.push(Action::Refuse(a.id, wait.clamp(0, self.set.max_retry_after)));
+            return;
+        }
         let class = &self.set.classes[a.class];
         // The longest time that clients of a class leave tells when this one first asked: it may come from
         // a backlog, or again. One that leaves less than the aim is in a hurry.
@@ -599,7 +621,7 @@
         if node.unwell {
             return now >= node.next_trial && node.slots.len() < CEILING;
         }
-        let aim = set.classes.iter().map(|c| c.aim).min().unwrap_or(SECOND) as f64;
+        let aim = self.tightest_aim() as f64;
         let poor = request.late || request.part <= set.spare_worth;
         let bound = aim * PART_OF_AIM / node.per_unit(now, self.average());
         let eased = bound * if poor { 1.0 } else { SHARE_EASE };
--- a/src/run/fleet.rs
+++ b/src/run/fleet.rs
@@ -5,7 +5,7 @@
 use crate::state::pool::{Lane, LinkId};
 use crate::state::room::Room;
 use crate::state::stage::Stage;
-use crate::wire::clock::Clock;
+use crate::wire::clock::Pulse;
 use crate::wire::link::{Exchange, LinkTask, Order, Permit};
 use std::cell::Cell;
 use std::collections::{HashMap, VecDeque};
@@ -14,8 +14,12 @@
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::sync::oneshot;
 
-/// Most inputs of one turn.
-const MOST_INPUTS: usize = 4096;
+/// Most inputs of one turn: what more has come waits for the next, behind whatever else is due.
+const MOST_INPUTS: usize = 256;
+/// A turn that takes longer than this is worth a line in the log, with what it had to do.
+const LONG_TURN: Time = 20_000;
+/// Lateness below this is that of timers and of a machine with other work.
+const ON_TIME: Time = 10_000;
 /// How often the log says what has been done.
 const REPORT: Time = 10_000_000;
 
@@ -33,8 +37,8 @@
     pub ending: UnboundedReceiver<oneshot::Sender<()>>,
     /// Where links report to.
     pub own: UnboundedSender<Input<W>>,
-    /// The time.
-    pub clock: Clock,
+    /// The time, and how late this process runs.
+    pub pulse: Pulse,
     /// How long a link's connection may take to come up.
     pub connect_timeout: Rc<Cell<Duration>>,
     /// Room for replies that are not whole yet.
@@ -49,7 +53,7 @@
         let mut links: HashMap<LinkId, UnboundedSender<Order<W>>> = HashMap::new();
         let (mut inputs, mut taken, mut effects) = (Vec::new(), Vec::new(), Vec::new());
         let mut ended: Option<oneshot::Sender<()>> = None;
-        let mut report_at = self.clock.now() + REPORT;
+        let mut report_at = self.pulse.now() + REPORT;
         loop {
             let wakes = [self.planner.next_deadline(), self.stage.next_deadline(), Some(report_at)];
             let wake = wakes.into_iter().flatten().min().unwrap_or(report_at);
@@ -57,11 +61,20 @@
                 n = self.inputs.recv_many(&mut inputs, MOST_INPUTS) => if n == 0 { return },
                 Some(told) = self.ending.recv() => {
                     ended = Some(told);
-                    self.stage.stop(self.clock.now(), &mut taken);
+                    self.stage.stop(self.pulse.now(), &mut taken);
                 }
-                () = tokio::time::sleep_until(self.clock.instant(wake).into()) => {}
+                () = tokio::time::sleep_until(self.pulse.clock().instant(wake).into()) => {}
             }
-            let now = self.clock.now();
+            // What is due is measured by what lies in the sockets, too: an answer that is there has come in time.
+            let late = self.pulse.lag().max(self.pulse.now() - wake);
+            self.pulse.catch_up().await;
+            let room = MOST_INPUTS - inputs.len();
+            inputs.extend((0..room).map_while(|_| self.inputs.try_recv().ok()));
+            let now = self.pulse.now();
+            if late > ON_TIME {
+                taken.push(Input::Late(late));
+            }
+            let (count, work) = (inputs.len(), self.planner.work());
             for input in inputs.drain(..) {
                 if let Input::LinkDown(link, _) = &input {
                     links.remove(link);
@@ -90,7 +103,7 @@
                             exchange: exchange(lane),
                             orders,
                             planner: self.own.clone(),
-                            clock: self.clock,
+                            pulse: self.pulse.clone(),
                             room: self.room.clone(),
                             permit: self.permit.clone(),
                             queue: VecDeque::new(),
@@ -122,6 +135,17 @@
                     }
                 }
             }
+            self.pulse.spent("a turn of the scheduler", now);
+            let took = self.pulse.now() - now;
+            if took > LONG_TURN || late > LONG_TURN * 5 {
+                let (requests, attempts, _) = self.planner.load();
+                let (work, waiting) = (self.planner.work() - work, self.planner.waiting());
+                let (late_ms, took_ms) = (late / 1000, took / 1000);
+                tracing::warn!(late_ms, took_ms, count, work, requests, waiting, attempts, "late turn");
+            }
+            if count == MOST_INPUTS {
+                tokio::task::yield_now().await;
+            }
             if self.stage.is_stopped() {
                 if let Some(told) = ended.take() {
                     // Whoever has stopped waiting need not be told.
@@ -138,7 +162,7 @@
     fn report(&mut self) {
         let (late, counts, load) =
             (self.planner.take_lateness(), self.planner.take_counts(), self.planner.load());
-        self.stage.report(self.clock.now());
+        self.stage.report(self.pulse.now());
         tracing::info!(
             fleet = self.name,
             requests = load.0,
@@ -147,6 +171,7 @@
             timers = late.count,
             late_mean_us = late.total / (late.count as Time).max(1),
             late_worst_us = late.worst,
+            shed = self.planner.shed(),
             ?counts,
             "state"
         );
--- a/src/run/front.rs
+++ b/src/run/front.rs
@@ -71,7 +71,7 @@
             // Another process that took them in its place may be gone.
             let last = match phase.wait_for(|phase| phase.accepts() || phase.stops()).await {
                 Ok(phase) if phase.accepts() => continue,
-                Ok(phase) => *phase == Phase::Closing,
+                Ok(phase) => matches!(*phase, Phase::Closing(..)),
                 Err(_) => return,
             };
             if last {
--- a/src/run/nbd.rs
+++ b/src/run/nbd.rs
@@ -119,7 +119,7 @@
         ending: ended,
         inputs,
         own: own.clone(),
-        clock: place.clock,
+        pulse: place.pulse.clone(),
         connect_timeout: Rc::new(Cell::new(bounds.connect())),
         room: Room::new(place.limits.room),
         permit: place.permit,
--- a/src/run/start.rs
+++ b/src/run/start.rs
@@ -19,6 +19,7 @@
 use crate::state::room::Room;
 use crate::state::seats::Seats;
 use crate::state::stage::Through;
+use crate::state::starts::Starts;
 use crate::state::told::{Terms, Told};
 use crate::state::upkeep::Upkeep;
 use crate::wire::admin;
@@ -201,7 +202,12 @@
         // Until its part of the limits is on record: another process may spend by all of them.
         let _ = own.send(Input::Part(0.0));
     }
-    let known = upkeep.list(clock.now(), ListKind::Saved, known.unwrap_or_default());
+    let (mut known, mut starts) = (known.unwrap_or_default(), Starts::new(clock.now()));
+    for listed in &mut known {
+        let entry = &mut listed.member.entry;
+        entry.started = starts.adopt(clock.now(), entry.node, entry.started);
+    }
+    let known = upkeep.list(clock.now(), ListKind::Saved, known);
     let _ = own.send(Input::Nodes(ListKind::Saved, known));
     let upkeep = Rc::new(RefCell::new(upkeep));
     let room = Room::new(limits.room);
@@ -219,7 +225,7 @@
         ending: unbounded_channel().1,
         inputs,
         own: own.clone(),
-        clock,
+        pulse: pulse.clone(),
         connect_timeout: connect_timeout.clone(),
         room: room.clone(),
         permit: permit.clone(),
@@ -249,7 +255,8 @@
         told: Told::new(clock.now(), lists.get(), beside, config.seed),
         terms: lists,
         permit: permit.clone(),
-        clock,
+        starts,
+        pulse: pulse.clone(),
     };
     tokio::task::spawn_local(watcher.run());
 
@@ -325,8 +332,8 @@
             });
             let (nodes, planner) = (upkeep.clone(), own.clone());
             let halt = Box::new(move |halted| {
-                let told = nodes.borrow_mut().halt(clock.now(), halted);
-                drop(tell(&planner, told));
+                let suspended = nodes.borrow_mut().halt(halted);
+                let _ = planner.send(Input::Suspended(suspended));
             });
             let hooks = Hooks { apply, halt, permit: permit.clone() };
             Some(Cluster::start(file, mix(&clock.now().to_le_bytes(), id), clock, hooks).await?)
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -16,5 +16,6 @@
 pub mod scrub;
 pub mod seats;
 pub mod stage;
+pub mod starts;
 pub mod told;
 pub mod upkeep;
--- a/src/state/phase.rs
+++ b/src/state/phase.rs
@@ -31,14 +31,16 @@
     Serving,
     /// Staff empty it: new connections are still served, but each is closed after an answer.
     Leaving(Time),
-    /// It was told to stop: connections are taken and kept for a moment more, since clients learn of it late.
-    Stopping,
+    /// It was told to stop: connections are taken and kept for a moment more, since clients learn of it late. It has so
+    /// long until it may be ended.
+    Stopping(Time, Time),
     /// Another process serves in its place and takes all new connections; those that there are stay.
     Yielding,
     /// It was told to stop and another process takes its connections. It has so long until it may be ended.
     HandingOver(Time, Time),
-    /// It takes no connection any more and closes each between requests.
-    Closing,
+    /// It takes no connection any more and closes each between requests. It was told to stop then, and has so long until
+    /// it may be ended.
+    Closing(Time, Time),
 }
 
 /// What can move it.
@@ -69,7 +71,7 @@
 impl Phase {
     /// The phase after a move. A call that is repeated changes nothing, nor its time.
     pub fn after(self, what: Move, now: Time) -> Result<Phase, NotNow> {
-        let stopping = matches!(self, Phase::Stopping | Phase::HandingOver(..) | Phase::Closing);
+        let stopping = matches!(self, Phase::Stopping(..) | Phase::HandingOver(..) | Phase::Closing(..));
         Ok(match (what, self) {
             (Move::Started, Phase::Starting) => Phase::Serving,
             (Move::Leave, Phase::Starting | Phase::Serving | Phase::Yielding) => Phase::Leaving(now),
@@ -79,15 +81,17 @@
             (Move::Yield(false), Phase::Yielding) => Phase::Serving,
             // Of one that staff have emptied nobody knows any more, either.
             (Move::Stop(grace), Phase::Yielding | Phase::Leaving(_)) => Phase::HandingOver(now, grace),
-            (Move::Stop(_), _) if !stopping => Phase::Stopping,
-            (Move::Close, _) => Phase::Closing,
+            (Move::Stop(grace), _) if !stopping => Phase::Stopping(now, grace),
+            (Move::Close, Phase::Stopping(at, grace) | Phase::HandingOver(at, grace)) => {
+                Phase::Closing(at, grace)
+            }
             (_, same) => same,
         })
     }
 
     /// Whether clients are welcome: what `PING` says.
     pub fn welcomes(self) -> bool {
-        matches!(self, Phase::Serving | Phase::Yielding | Phase::Stopping)
+        matches!(self, Phase::Serving | Phase::Yielding | Phase::Stopping(..))
     }
 
     /// Whether a client that is sent here now is served, as far as it depends on this: what `HEALTH` says.
@@ -97,12 +101,12 @@
 
     /// Whether connections are taken.
     pub fn accepts(self) -> bool {
-        !matches!(self, Phase::Yielding | Phase::HandingOver(..) | Phase::Closing)
+        !matches!(self, Phase::Yielding | Phase::HandingOver(..) | Phase::Closing(..))
     }
 
     /// Whether the process is about to end.
     pub fn stops(self) -> bool {
-        matches!(self, Phase::HandingOver(..) | Phase::Closing)
+        matches!(self, Phase::HandingOver(..) | Phase::Closing(..))
     }
 
     /// When a connection between requests is to be closed that was last of use at `since`: never, if nothing. It
@@ -111,8 +115,8 @@
         let (at, quiet, latest) = match self {
             Phase::Leaving(at) => (at, QUIET, LATEST),
             Phase::HandingOver(at, grace) => (at, QUIET_HANDING, last_read(grace)),
-            Phase::Closing if answer => return Some(since),
-            Phase::Closing => return Some(since + FRESH),
+            Phase::Closing(..) if answer => return Some(since),
+            Phase::Closing(..) => return Some(since + FRESH),
             _ => return None,
         };
         Some(if answer && since > at { since } else { (at.max(since) + quiet).min(at + latest) })
@@ -122,7 +126,7 @@
     pub fn deaf_at(self) -> Option<Time> {
         match self {
             Phase::Leaving(at) => Some(at + LATEST),
-            Phase::HandingOver(at, grace) => Some(at + last_read(grace)),
+            Phase::HandingOver(at, grace) | Phase::Closing(at, grace) => Some(at + last_read(grace)),
             _ => None,
         }
     }
@@ -130,7 +134,9 @@
     /// When a request that is taken now must have its answer, whatever its client would wait for.
     pub fn answers_by(self) -> Option<Time> {
         match self {
-            Phase::HandingOver(at, grace) => Some(at + grace - LAST_ANSWER),
+            Phase::HandingOver(at, grace) | Phase::Stopping(at, grace) | Phase::Closing(at, grace) => {
+                Some(at + grace - LAST_ANSWER)
+            }
             _ => None,
         }
     }
--- a/src/state/phase/tests.rs
+++ b/src/state/phase/tests.rs
@@ -25,8 +25,9 @@
     let stopped =
         [yields[0], yields[1], (S, Move::Stop(3 * S)), (2 * S, Move::Leave), (3 * S, Move::Started)];
     assert_eq!(walk(&stopped), Phase::HandingOver(S, 3 * S));
-    assert_eq!(Phase::Stopping.after(Move::Join, S), Err(NotNow::Stopping));
-    assert_eq!(walk(&[started, (S, Move::Stop(3 * S)), (2 * S, Move::Close)]), Phase::Closing);
+    assert_eq!(Phase::Stopping(0, S).after(Move::Join, S), Err(NotNow::Stopping));
+    assert_eq!(walk(&[started, (S, Move::Stop(3 * S)), (2 * S, Move::Close)]), Phase::Closing(S, 3 * S));
+    assert_eq!(walk(&[started, (2 * S, Move::Close)]), Phase::Serving, "it was not told to stop");
 }
 
 #[test]
@@ -35,7 +36,7 @@
     assert_eq!(told(Phase::Starting), (false, false, true));
     assert_eq!(told(Phase::Serving), (true, true, true));
     assert_eq!(told(Phase::Leaving(S)), (false, false, true), "fronts learn of it late");
-    assert_eq!(told(Phase::Stopping), (true, false, true));
+    assert_eq!(told(Phase::Stopping(0, S)), (true, false, true));
     assert_eq!(told(Phase::HandingOver(S, 3 * S)), (false, false, false), "the next process takes them");
     assert_eq!(told(Phase::Yielding), (true, true, false));
 }
@@ -53,8 +54,11 @@
     // What is read has its answer before the process may be ended, however short its time is.
     for grace in [1_900_000, 3_700_000] {
         let handing = Phase::HandingOver(10 * S, grace);
-        assert!(handing.deaf_at() <= handing.answers_by(), "{grace}");
-        assert!(handing.answers_by() < Some(10 * S + grace), "{grace}");
+        for ending in [handing, Phase::Closing(10 * S, grace)] {
+            assert!(ending.deaf_at() <= ending.answers_by(), "{grace}");
+            assert!(ending.answers_by() < Some(10 * S + grace), "{grace}");
+        }
+        assert_eq!(Phase::Stopping(10 * S, grace).answers_by(), handing.answers_by());
         assert_eq!(handing.closes_at(9 * S, true), Some(10 * S + QUIET_HANDING.min(last_read(grace))));
     }
 }
--- a/src/state/planner.rs
+++ b/src/state/planner.rs
@@ -7,7 +7,7 @@
 use crate::interface::{Action, Arrival, Ending, Event, ListKind, NodeEntry, NodeId, NodeState};
 use crate::interface::{Outcome, RequestId, Settings, SettingsError, ShardId, Time};
 use crate::rules::Scheduler;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 
@@ -101,6 +101,17 @@
     pub address: String,
 }
 
+/// How a link has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Down {
+    /// It was up.
+    Ended,
+    /// It never came up.
+    Never,
+    /// This machine could not open it, which says nothing about the node.
+    Here,
+}
+
 /// What happened.
 pub enum Input<W: Wire> {
     /// A front took a request.
@@ -120,8 +131,8 @@
     /// Something has come on a link that belongs to what is not whole yet: for how long the next of it may be waited
     /// for. Nothing, if all is whole or the link does not wait for its node.
     Partial(LinkId, Option<Time>),
-    /// A link is over; all its attempts have ended before. True if it never came up.
-    LinkDown(LinkId, bool),
+    /// A link is over; all its attempts have ended before.
+    LinkDown(LinkId, Down),
     /// News of the nodes.
     Nodes(ListKind, Vec<Member>),
     /// A probe ended.
@@ -130,6 +141,10 @@
     Settings(Box<Settings>, LinkTerms),
     /// The part of all limits that is this process's; see [`Event::Part`].
     Part(f64),
+    /// Nothing may be sent to any node, or it may again.
+    Suspended(bool),
+    /// So late the process runs, in microseconds.
+    Late(Time),
     /// So many links there may be from now on; if nothing, few more than there are.
     Links(Option<usize>),
     /// Whoever holds the other end is told once the turn is over that took all before this.
@@ -216,6 +231,8 @@
     /// How many of them there are by shard; none for new objects. A shard without any has no entry.
     open_at: OpenAt,
     attempts: BTreeMap<Tag, Attempt>,
+    /// The same by the link they are on. A link without any has no entry.
+    on_link: BTreeMap<LinkId, BTreeSet<Tag>>,
     addresses: BTreeMap<NodeId, String>,
     pool: Pool,
     deadlines: Deadlines<Deadline>,
@@ -235,6 +252,7 @@
             requests: BTreeMap::new(),
             open_at: OpenAt::new(),
             attempts: BTreeMap::new(),
+            on_link: BTreeMap::new(),
             addresses: BTreeMap::new(),
             pool: Pool::new(limits),
             deadlines: Deadlines::default(),
@@ -282,6 +300,21 @@
         Some(open)
     }
 
+    /// What the scheduler has looked at since the start; see [`Scheduler::work`].
+    pub fn work(&self) -> u64 {
+        self.scheduler.work()
+    }
+
+    /// Requests that wait for a node.
+    pub fn waiting(&self) -> usize {
+        self.scheduler.waiting()
+    }
+
+    /// Requests refused since the start because this process ran late.
+    pub fn shed(&self) -> u64 {
+        self.scheduler.shed()
+    }
+
     /// Nodes that have an address here, and nodes that the scheduler keeps a book of.
     pub fn known(&self) -> (usize, usize) {
         (self.addresses.len(), self.scheduler.known().0)
@@ -381,9 +414,20 @@
                     self.deadlines.insert(until, Deadline::Whole(link));
                 }
             }
-            Input::LinkDown(link, refused) => {
-                self.pool.remove(now, link, refused);
+            Input::LinkDown(link, down) => {
+                self.pool.remove(now, link, down == Down::Never);
+                if down == Down::Here {
+                    self.pool.spent(now);
+                }
+            }
+            Input::Suspended(suspended) => {
+                if suspended {
+                    // What has not begun is given back; only the links know what they have written.
+                    effects.extend(self.pool.busy().map(Effect::Bar));
+                }
+                self.events.push(Event::Suspended(suspended));
             }
+            Input::Late(late) => self.events.push(Event::Late(late)),
             Input::Nodes(kind, members) => {
                 let mut entries = Vec::with_capacity(members.len());
                 if matches!(kind, ListKind::Full | ListKind::Saved) {
@@ -427,6 +471,7 @@
     /// Settles an attempt. What a link reports of one that is settled already is dropped.
     fn ended(&mut self, now: Time, tag: Tag, end: End<W::Reply>) {
         let Some(attempt) = self.attempts.remove(&tag) else { return };
+        self.leave_link(attempt.link, tag);
         self.deadlines.remove(attempt.until, Deadline::Attempt(tag));
         self.counts.endings[end.ending as usize] += 1;
         let (id, number) = tag;
@@ -471,7 +516,7 @@
             // A reply before it is still passed on. Its request has no further attempt: its time is over.
             return;
         }
-        let shared = self.attempts.values().any(|a| a.link == Some(link));
+        let shared = self.on_link.contains_key(&link);
         if shared && !self.requests.contains_key(&tag.0) {
             return;
         }
@@ -482,14 +527,22 @@
     fn break_link(&mut self, now: Time, link: LinkId, ending: Ending, effects: &mut Vec<Effect<W>>) {
         if self.pool.remove(now, link, false) {
             effects.push(Effect::Close(link));
-            let out: Vec<Tag> =
-                self.attempts.iter().filter(|(_, a)| a.link == Some(link)).map(|(t, _)| *t).collect();
-            for tag in out {
+            for tag in self.on_link.remove(&link).unwrap_or_default() {
                 self.ended(now, tag, End::bare(ending));
             }
         }
     }
 
+    /// An attempt is on its link no longer.
+    fn leave_link(&mut self, link: Option<LinkId>, tag: Tag) {
+        let Some(link) = link else { return };
+        let Some(tags) = self.on_link.get_mut(&link) else { return };
+        tags.remove(&tag);
+        if tags.is_empty() {
+            self.on_link.remove(&link);
+        }
+    }
+
     fn act(&mut self, now: Time, action: Action, effects: &mut Vec<Effect<W>>) {
         match action {
             Action::Send { id, node, begin_by, until } => {
@@ -520,25 +573,32 @@
         let request = open.request.clone();
         let lane = W::lane(&request);
         let mut attempt = Attempt { node, link: None, sent: now, until };
-        let pick = match self.addresses.get(&node) {
-            Some(_) => self.pool.pick(now, node, lane),
-            None => Pick::Full,
+        let Some(address) = self.addresses.get(&node) else {
+            self.attempts.insert(tag, attempt);
+            self.ended(now, tag, End::bare(Ending::Unreachable));
+            return;
         };
+        let pick = self.pool.pick(now, node, lane);
+        if let Pick::Replace(_, over) = pick {
+            effects.push(Effect::Close(over));
+        }
         let link = match pick {
             Pick::Use(link) => link,
-            Pick::Open(link) => {
+            Pick::Open(link) | Pick::Replace(link, _) => {
                 self.counts.opened += 1;
-                effects.push(Effect::Open(link, node, lane, self.addresses[&node].clone()));
+                effects.push(Effect::Open(link, node, lane, address.clone()));
                 link
             }
             Pick::Full => {
+                // All that this process may open are in use: that says nothing about the node.
                 self.attempts.insert(tag, attempt);
-                self.ended(now, tag, End::bare(Ending::Unreachable));
+                self.ended(now, tag, End::bare(Ending::NotSent));
                 return;
             }
         };
         attempt.link = Some(link);
         self.attempts.insert(tag, attempt);
+        self.on_link.entry(link).or_default().insert(tag);
         self.deadlines.insert(until, Deadline::Attempt(tag));
         let flows = W::flows(&request);
         effects.push(Effect::Send(link, tag, span, request));
--- a/src/state/pool.rs
+++ b/src/state/pool.rs
@@ -1,7 +1,7 @@
 //! The links to nodes: which one carries an attempt, when an idle one is let go.
 
 use crate::interface::{NodeId, Time};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Number of a link, never used twice.
 pub type LinkId = u64;
@@ -50,6 +50,9 @@
 /// Where an attempt goes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Pick {
+    /// Onto a link that is to be opened, in the place of an idle one of another node that is to be closed: as many are
+    /// open as there may be.
+    Replace(LinkId, LinkId),
     /// Onto a link that is there.
     Use(LinkId),
     /// Onto a link that is to be opened first.
@@ -66,8 +69,9 @@
 }
 
 /// How long a link rests after a reply, while there are others: what a node sends beyond its reply comes right behind
-/// it, a second answer some milliseconds later, and must not be taken for the reply to the next request.
-const SETTLED: Time = 20_000;
+/// it, a second answer some milliseconds later, and must not be taken for the reply to the next request. On a busy machine
+/// both the node that sends it and whoever reads it may be held up by some tens of milliseconds.
+const SETTLED: Time = 100_000;
 /// For how long a refused connect, while others are up, is taken as the node's cap on connections.
 const CAP_MEMORY: Time = 5_000_000;
 
@@ -78,13 +82,25 @@
     links: BTreeMap<LinkId, Link>,
     by_node: BTreeMap<(NodeId, Lane), Vec<LinkId>>,
     caps: BTreeMap<NodeId, Cap>,
+    /// Idle links, those unused for longest first.
+    idle: BTreeSet<(Time, LinkId)>,
+    /// What this machine has shown that it can hold.
+    own_cap: Option<Cap>,
     next: LinkId,
 }
 
 impl Pool {
     /// An empty pool.
     pub fn new(limits: PoolLimits) -> Self {
-        Pool { limits, links: BTreeMap::new(), by_node: BTreeMap::new(), caps: BTreeMap::new(), next: 0 }
+        Pool {
+            limits,
+            links: BTreeMap::new(),
+            by_node: BTreeMap::new(),
+            caps: BTreeMap::new(),
+            idle: BTreeSet::new(),
+            own_cap: None,
+            next: 0,
+        }
     }
 
     /// Chooses the link for one more attempt and counts the attempt on it. Answers queue behind one another
@@ -98,16 +114,23 @@
         let settled = |id: &LinkId| quiet(&links[id]).is_some_and(|since| now - since >= SETTLED);
         let idle = ids.iter().copied().filter(settled).max_by_key(|id| links[id].idle_since);
         let cap = self.caps.get(&node).filter(|c| c.until > now).map_or(usize::MAX, |c| c.links);
-        let may_open = ids.len() < self.limits.links_per_node.min(cap) && links.len() < self.limits.links;
-        if let (None, true) = (idle, may_open) {
-            let id = self.next;
-            self.next += 1;
-            ids.push(id);
-            links.insert(
-                id,
-                Link { node, lane, out: 1, idle_since: None, partial: None, flowing: false, up: false },
-            );
-            return Pick::Open(id);
+        let own_cap = self.own_cap.filter(|c| c.until > now).map_or(usize::MAX, |c| c.links);
+        let room_at_node = ids.len() < self.limits.links_per_node.min(cap);
+        if let (None, true) = (idle, room_at_node) {
+            let full = links.len() >= self.limits.links.min(own_cap);
+            let other = |(_, id): &&(Time, LinkId)| links[id].node != node;
+            let over = full.then(|| self.idle.iter().find(other).map(|(_, id)| *id));
+            if over != Some(None) {
+                let id = self.next;
+                self.next += 1;
+                ids.push(id);
+                let link =
+                    Link { node, lane, out: 1, idle_since: None, partial: None, flowing: false, up: false };
+                links.insert(id, link);
+                let Some(Some(over)) = over else { return Pick::Open(id) };
+                self.remove(now, over, false);
+                return Pick::Replace(id, over);
+            }
         }
         let shared = |id: &LinkId| !links[id].flowing;
         let least = || ids.iter().copied().filter(shared).min_by_key(|id| links[id].out);
@@ -120,7 +143,9 @@
         match links.get_mut(&id) {
             Some(link) if link.out < self.limits.terms.multiplex => {
                 link.out += 1;
-                link.idle_since = None;
+                if let Some(since) = link.idle_since.take() {
+                    self.idle.remove(&(since, id));
+                }
                 Pick::Use(id)
             }
             _ => Pick::Full,
@@ -135,7 +160,10 @@
         if link.out > 0 {
             return None;
         }
-        link.idle_since = Some(now);
+        if let Some(since) = link.idle_since.replace(now) {
+            self.idle.remove(&(since, id));
+        }
+        self.idle.insert((now, id));
         Some(now + self.limits.terms.idle)
     }
 
@@ -178,6 +206,9 @@
     /// Forgets a link. One that never came up while others of its node are shows the node's cap.
     pub fn remove(&mut self, now: Time, id: LinkId, refused: bool) -> bool {
         let Some(link) = self.links.remove(&id) else { return false };
+        if let Some(since) = link.idle_since {
+            self.idle.remove(&(since, id));
+        }
         let place = (link.node, link.lane);
         let ids = self.by_node.entry(place).or_default();
         ids.retain(|i| *i != id);
@@ -192,6 +223,11 @@
         true
     }
 
+    /// This machine could not open a link: it can hold no more than there are for a while.
+    pub fn spent(&mut self, now: Time) {
+        self.own_cap = Some(Cap { links: self.links.len().max(1), until: now + CAP_MEMORY });
+    }
+
     /// The idle links of a node that takes no more work.
     pub fn idle_of(&self, node: NodeId) -> Vec<LinkId> {
         self.of(node, |link| link.out == 0)
@@ -202,6 +238,11 @@
         self.of(node, |link| link.out > 0)
     }
 
+    /// All links that attempts are on.
+    pub fn busy(&self) -> impl Iterator<Item = LinkId> + '_ {
+        self.links.iter().filter(|(_, link)| link.out > 0).map(|(id, _)| *id)
+    }
+
     fn of(&self, node: NodeId, fits: impl Fn(&Link) -> bool) -> Vec<LinkId> {
         let lanes = self.by_node.range((node, Lane::MIN)..=(node, Lane::MAX));
         lanes.flat_map(|(_, ids)| ids).copied().filter(|id| fits(&self.links[id])).collect()
@@ -215,11 +256,8 @@
     /// Sets how many links there may be. Gives the idle ones that are too many, those unused for longest first.
     pub fn bound(&mut self, links: usize) -> Vec<LinkId> {
         self.limits.links = links;
-        let since = |(id, l): (&LinkId, &Link)| l.idle_since.map(|since| (since, *id));
-        let mut idle: Vec<(Time, LinkId)> = self.links.iter().filter_map(since).collect();
-        idle.sort_unstable();
         let over = self.links.len().saturating_sub(links);
-        idle.into_iter().take(over).map(|(_, id)| id).collect()
+        self.idle.iter().take(over).map(|(_, id)| *id).collect()
     }
 
     /// How many links there are.
--- a/src/state/upkeep.rs
+++ b/src/state/upkeep.rs
@@ -110,10 +110,12 @@
     }
 
     fn is_out(&self, name: &str) -> bool {
-        self.halted
-            || self.outdated
-            || self.shared.contains(name)
-            || self.bans.get(name).is_some_and(|ban| ban.out)
+        self.shared.contains(name) || self.bans.get(name).is_some_and(|ban| ban.out)
+    }
+
+    /// Whether nothing may be sent to any node.
+    pub fn is_suspended(&self) -> bool {
+        self.halted || self.outdated
     }
 
     /// Whether a list has ever named it, as far as that is remembered.
@@ -121,34 +123,51 @@
         self.names.contains_key(name)
     }
 
-    /// Takes what is out at all brokers. Gives what the planner is to be told.
+    /// Takes what is out at all brokers. Gives what the planner is to be told: of those whose names came or went.
     pub fn share(&mut self, now: Time, shared: BTreeSet<String>) -> Vec<Member> {
-        let before = self.states(now);
-        self.shared = shared;
-        self.changed(now, &before)
+        let before = std::mem::replace(&mut self.shared, shared);
+        let moved: Vec<&String> = before.symmetric_difference(&self.shared).collect();
+        let numbers = moved.into_iter().filter_map(|name| self.names.get(name)).map(|(node, _)| *node);
+        let listed = numbers.filter_map(|node| self.nodes.get(&node));
+        // One that is banned here, too, is out on either word.
+        let banned = |l: &&Listed| self.bans.get(&l.name).is_some_and(|ban| ban.out);
+        listed.filter(|l| !banned(l)).map(|listed| self.laid_over(now, listed)).collect()
     }
 
-    /// Nothing may be sent to any node now, or it may again. Gives what the planner is to be told.
-    pub fn halt(&mut self, now: Time, halted: bool) -> Vec<Member> {
-        let before = self.states(now);
+    /// Nothing may be sent to any node now, or it may again. Gives whether nothing may for any reason.
+    pub fn halt(&mut self, halted: bool) -> bool {
         self.halted = halted;
-        self.changed(now, &before)
+        self.is_suspended()
     }
 
-    /// The list that is held may lack what counts as told, or it does no longer. Gives what the planner is to be told.
-    pub fn outdate(&mut self, now: Time, outdated: bool) -> Vec<Member> {
-        let before = self.states(now);
+    /// The list that is held may lack what counts as told, or it does no longer. Gives whether nothing may be sent for
+    /// any reason.
+    pub fn outdate(&mut self, outdated: bool) -> bool {
         self.outdated = outdated;
-        self.changed(now, &before)
-    }
-
-    fn states(&self, now: Time) -> BTreeMap<NodeId, NodeState> {
-        self.nodes.iter().map(|(id, listed)| (*id, self.laid_over(now, listed).entry.state)).collect()
+        self.is_suspended()
     }
 
-    fn changed(&self, now: Time, before: &BTreeMap<NodeId, NodeState>) -> Vec<Member> {
-        let after = self.nodes.values().map(|listed| self.laid_over(now, listed));
-        after.filter(|m| before.get(&m.entry.node) != Some(&m.entry.state)).collect()
+    /// Takes a list and gives only what has changed by it, as the planner is to be told; of a whole list those that are
+    /// missing, too, first of all. What it costs beside that grows with the list, not with the square of it.
+    pub fn changes(&mut self, now: Time, kind: ListKind, list: Vec<Listed>) -> Vec<Member> {
+        let mut told = Vec::new();
+        if kind != ListKind::Changes {
+            let named: BTreeSet<NodeId> = list.iter().map(|l| l.member.entry.node).collect();
+            let missing = self.nodes.values().filter(|l| !named.contains(&l.member.entry.node)).cloned();
+            let gone = missing.map(|mut listed| {
+                listed.member.entry.state = NodeState::Gone;
+                listed
+            });
+            let gone: Vec<Listed> = gone.collect();
+            told = self.list(now, ListKind::Changes, gone);
+        }
+        let news = |l: &Listed| self.nodes.get(&l.member.entry.node) != Some(l);
+        let changed = list.into_iter().filter(news).collect();
+        let mut changed = self.list(now, ListKind::Changes, changed);
+        // Those that are to be sent nothing more come before those that may be sent something.
+        changed.sort_by_key(|member| member.entry.state == NodeState::Up);
+        told.extend(changed);
+        told
     }
 
     fn is_left(&self, now: Time, entry: &NodeEntry) -> bool {
@@ -211,6 +230,16 @@
         self.bans.values().cloned().collect()
     }
 
+    /// Nodes as they were last listed, with other starts.
+    pub fn dated(&self, starts: Vec<(NodeId, Time)>) -> Vec<Listed> {
+        let dated = starts.into_iter().filter_map(|(node, at)| {
+            let mut listed = self.nodes.get(&node)?.clone();
+            listed.member.entry.started = Some(at);
+            Some(listed)
+        });
+        dated.collect()
+    }
+
     /// The nodes as listed.
     pub fn nodes(&self) -> Vec<Listed> {
         self.nodes.values().cloned().collect()
@@ -219,7 +248,7 @@
     /// Whether any node may be sent to.
     pub fn is_usable(&self) -> bool {
         let up = |l: &Listed| l.member.entry.state == NodeState::Up && !self.is_out(&l.name);
-        self.nodes.values().any(up)
+        !self.is_suspended() && self.nodes.values().any(up)
     }
 }
 
@@ -245,13 +274,30 @@
         u.list(0, ListKind::Full, vec![up("a", 1), up("b", 2)]);
         assert_eq!(states(&u.share(1, BTreeSet::from(["a".into(), "c".into()]))), [(1, NodeState::Draining)]);
         assert_eq!(states(&u.list(2, ListKind::Changes, vec![up("c", 3)])), [(3, NodeState::Draining)]);
-        assert_eq!(states(&u.halt(3, true)), [(2, NodeState::Draining)]);
-        assert!(!u.is_usable() && u.halt(4, true).is_empty());
-        assert_eq!(states(&u.share(5, BTreeSet::new())), []);
-        assert_eq!(u.halt(6, false).len(), 3);
+        assert!(u.is_usable() && u.halt(true) && !u.is_usable());
+        assert!(u.outdate(true) && u.halt(false), "each reason by itself");
+        let back = [(1, NodeState::Up), (3, NodeState::Up)];
+        assert_eq!(states(&u.share(5, BTreeSet::new())), back, "as listed: suspension is told apart");
+        assert!(!u.outdate(false));
         assert!(u.is_usable() && u.knows("c") && !u.knows("d"));
     }
 
+    /// Guards against a whole list that is taken apart again for each of its nodes.
+    #[test]
+    fn of_a_whole_list_only_what_has_changed_is_told_and_what_leaves_comes_first() {
+        let mut u = Upkeep::default();
+        let told = u.changes(0, ListKind::Full, vec![up("a", 1), up("b", 2), up("c", 3)]);
+        assert_eq!(told.len(), 3);
+        assert!(u.changes(1, ListKind::Full, vec![up("a", 1), up("b", 2), up("c", 3)]).is_empty());
+        u.call(2, "a", true).expect("listed");
+        let draining = listed("c", 3, NodeState::Draining, None);
+        let told = u.changes(3, ListKind::Full, vec![up("a", 1), up("d", 4), draining]);
+        assert_eq!(states(&told), [(2, NodeState::Gone), (3, NodeState::Draining), (4, NodeState::Up)]);
+        assert_eq!(u.nodes().len(), 3);
+        let told = u.changes(4, ListKind::Changes, vec![listed("a", 1, NodeState::Up, Some(S))]);
+        assert_eq!(states(&told), [(1, NodeState::Draining)], "a ban holds over a new start");
+    }
+
     fn states(told: &[Member]) -> Vec<(NodeId, NodeState)> {
         told.iter().map(|m| (m.entry.node, m.entry.state)).collect()
     }
--- a/src/wire/clock.rs
+++ b/src/wire/clock.rs
@@ -24,6 +24,13 @@
         self.base + self.start.elapsed().as_micros() as Time
     }
 
+    /// How far the system's wall clock has moved away from this clock since it was set, in microseconds: it is stepped
+    /// by whoever keeps the machine's time, and neither before nor after is sure to be right.
+    pub fn wall_step(&self) -> Time {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        unix.as_micros() as Time - self.now()
+    }
+
     /// When that time comes, for a sleep.
     pub fn instant(&self, at: Time) -> Instant {
         self.start + Duration::from_micros((at - self.base).max(0) as u64)
@@ -41,12 +48,24 @@
 pub struct Pulse {
     clock: Clock,
     last: Rc<Cell<Time>>,
+    longest: Rc<Cell<Option<Stretch>>>,
 }
 
+/// A piece of work that nothing else could run beside.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Stretch {
+    what: &'static str,
+    took: Time,
+}
+
+/// How many times others are given way to, where this process is late: what came meanwhile is read, taken by whom it is
+/// for, and passed on.
+const GIVE_WAY: usize = 3;
+
 impl Pulse {
     /// A pulse that has just beaten.
     pub fn new(clock: Clock) -> Self {
-        Pulse { clock, last: Rc::new(Cell::new(clock.now())) }
+        Pulse { clock, last: Rc::new(Cell::new(clock.now())), longest: Rc::default() }
     }
 
     /// Beats for good.
@@ -54,8 +73,10 @@
         loop {
             tokio::time::sleep_until(self.clock.instant(self.last.get() + BEAT).into()).await;
             let (now, last) = (self.clock.now(), self.last.get());
-            if now - last - BEAT > STALL {
-                tracing::warn!(ms = (now - last - BEAT) / 1000, "stalled");
+            let (late, longest) = (now - last - BEAT, self.longest.take());
+            if late > STALL {
+                let (cause, took) = cause(late, longest);
+                tracing::warn!(ms = late / 1000, cause, took_ms = took / 1000, "stalled");
             }
             self.last.set(now);
         }
@@ -66,12 +87,50 @@
         self.clock.now()
     }
 
+    /// The clock.
+    pub fn clock(&self) -> Clock {
+        self.clock
+    }
+
+    /// How late the process runs at this moment, in microseconds.
+    pub fn lag(&self) -> Time {
+        (self.clock.now() - self.last.get() - BEAT).max(0)
+    }
+
+    /// Takes note of what has just held up all else since `from`, for the log of stalls.
+    pub fn spent(&self, what: &'static str, from: Time) {
+        let took = self.clock.now() - from;
+        if self.longest.get().is_none_or(|longest| longest.took < took) {
+            self.longest.set(Some(Stretch { what, took }));
+        }
+    }
+
+    /// Where the process is late, lets what has come meanwhile be read and passed on before anything is decided by the
+    /// clock: what lies unread in a socket is not late.
+    pub async fn catch_up(&self) {
+        if self.lag() <= BEAT {
+            return;
+        }
+        for _ in 0..GIVE_WAY {
+            tokio::task::yield_now().await;
+        }
+    }
+
     /// The earliest time at which something may have come that is read now.
     pub fn came(&self) -> Time {
         came(self.clock.now(), self.last.get())
     }
 }
 
+/// What a stall is put down to: the longest piece of work if it makes up half of it, or else whatever holds the process
+/// up from outside.
+fn cause(late: Time, longest: Option<Stretch>) -> (&'static str, Time) {
+    match longest.filter(|longest| longest.took * 2 >= late) {
+        Some(longest) => (longest.what, longest.took),
+        None => ("held up from outside, or by many small pieces", 0),
+    }
+}
+
 /// A beat or two may be missed by chance.
 fn came(now: Time, last: Time) -> Time {
     if now - last > 2 * BEAT {
@@ -90,4 +149,12 @@
         assert_eq!(came(1_000_000, 1_000_000 - BEAT), 1_000_000);
         assert_eq!(came(1_000_000, 900_000), 900_000);
     }
+
+    #[test]
+    fn a_stall_is_put_down_to_what_took_half_of_it() {
+        let longest = |took| Some(Stretch { what: "a turn", took });
+        assert_eq!(cause(100, longest(60)), ("a turn", 60));
+        assert_ne!(cause(100, longest(40)).0, "a turn");
+        assert_ne!(cause(100, None).0, "a turn");
+    }
 }
--- a/src/wire/discovery.rs
+++ b/src/wire/discovery.rs
@@ -81,6 +81,13 @@
         self.taken.retain(|number, _| keep(*number));
     }
 
+    /// Forgets one node.
+    fn forget(&mut self, number: NodeId) {
+        if let Some(name) = self.taken.remove(&number) {
+            self.by_name.remove(&name);
+        }
+    }
+
     /// The name of a node, for the log.
     pub fn name(&self, number: NodeId) -> Option<&str> {
         self.taken.get(&number).map(String::as_str)
@@ -132,7 +139,13 @@
         let members: Vec<Listed> = self.members.into_iter().map(member).collect();
         let last: BTreeMap<NodeId, NodeState> =
             members.iter().map(|l| (l.member.entry.node, l.member.entry.state)).collect();
-        numbers.keep(|node| last.get(&node).map_or(!complete, |state| *state != NodeState::Gone));
+        match complete {
+            true => numbers.keep(|node| last.get(&node).is_some_and(|state| *state != NodeState::Gone)),
+            false => {
+                let gone = last.iter().filter(|(_, state)| **state == NodeState::Gone);
+                gone.for_each(|(node, _)| numbers.forget(*node));
+            }
+        }
         members
     }
 }
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -2,10 +2,11 @@
 
 use super::outbox::Outbox;
 use crate::interface::{Ending, Time};
-use crate::state::planner::{End, Input, Span, Tag, Wire};
+use crate::state::planner::{Down, End, Input, Span, Tag, Wire};
 use crate::state::pool::LinkId;
 use crate::state::room::{Part, Room};
-use crate::wire::clock::Clock;
+use crate::wire::clock::Pulse;
+use crate::wire::socket::{is_short_of_memory, not_up, passes, unread, NotUp, Unread as Lying, REST};
 use bytes::BytesMut;
 use std::cell::Cell;
 use std::collections::VecDeque;
@@ -87,6 +88,10 @@
     fn takes(&self) -> bool {
         true
     }
+    /// Whether nothing is out, and whatever comes now would be taken for the reply to the next request.
+    fn rests(&self) -> bool {
+        false
+    }
     /// Moves on what waits elsewhere to be written; an error where it will never come.
     fn fill(&mut self) -> Result<(), Broken> {
         Ok(())
@@ -154,8 +159,8 @@
     pub orders: UnboundedReceiver<Order<W>>,
     /// The planner.
     pub planner: UnboundedSender<Input<W>>,
-    /// The time.
-    pub clock: Clock,
+    /// The time, and how late this process runs.
+    pub pulse: Pulse,
     /// Room for replies that are not whole yet.
     pub room: Room,
     /// Until when anything may be written.
@@ -172,11 +177,17 @@
     /// Connects, carries attempts, and reports how each ended, until the connection breaks or the planner
     /// lets go of it.
     pub async fn run(mut self) {
-        let refused = match self.connect().await {
+        let down = match self.connect().await {
             None => return,
-            Some(Err(reason)) => {
-                tracing::debug!(link = self.id, address = self.address, reason, "link did not come up");
-                true
+            Some(Err((down, reason))) => {
+                tracing::debug!(
+                    link = self.id,
+                    address = self.address,
+                    reason,
+                    ?down,
+                    "link did not come up"
+                );
+                down
             }
             Some(Ok(stream)) => {
                 let _ = self.planner.send(Input::LinkUp(self.id));
@@ -184,7 +195,7 @@
                     None => return,
                     Some(reason) => tracing::debug!(link = self.id, reason, "link ended"),
                 }
-                false
+                Down::Ended
             }
         };
         // Orders that crossed the end were never written. A node that closes an idle connection is not out of reach.
@@ -192,27 +203,31 @@
         while let Ok(order) = self.orders.try_recv() {
             self.take(order);
         }
-        let never = if refused { Ending::Unreachable } else { Ending::NotSent };
+        let never = if down == Down::Never { Ending::Unreachable } else { Ending::NotSent };
         for (tag, ..) in std::mem::take(&mut self.queue) {
             let _ = self.planner.send(Input::Ended(self.id, tag, End::bare(never)));
         }
         for (tag, end) in self.exchange.lost() {
             let _ = self.planner.send(Input::Ended(self.id, tag, end));
         }
-        let _ = self.planner.send(Input::LinkDown(self.id, refused));
+        let _ = self.planner.send(Input::LinkDown(self.id, down));
     }
 
     /// The connection; nothing when the planner lets go before it is up.
-    async fn connect(&mut self) -> Option<Result<TcpStream, String>> {
+    async fn connect(&mut self) -> Option<Result<TcpStream, (Down, String)>> {
         let address = self.address.clone();
         let connect = tokio::time::timeout(self.connect_timeout, TcpStream::connect(address));
         tokio::pin!(connect);
         loop {
             tokio::select! {
                 connected = &mut connect => return Some(match connected {
-                    Err(_) => Err("timed out".to_string()),
-                    Ok(Err(e)) => Err(e.to_string()),
-                    Ok(Ok(stream)) => stream.set_nodelay(true).map(|()| stream).map_err(|e| e.to_string()),
+                    Err(_) => Err((Down::Never, "timed out".to_string())),
+                    Ok(Err(e)) if not_up(&e) == NotUp::Here => Err((Down::Here, e.to_string())),
+                    Ok(Err(e)) => Err((Down::Never, e.to_string())),
+                    Ok(Ok(stream)) => {
+                        let _ = stream.set_nodelay(true);
+                        Ok(stream)
+                    }
                 }),
                 order = self.orders.recv() => {
                     let order = order?;
@@ -265,13 +280,15 @@
 
     /// Reads and writes until the connection ends, which gives the reason, or the planner lets go.
     async fn carry(&mut self, stream: TcpStream) -> Option<String> {
-        let mut unread = Unread { read: BytesMut::new(), part: self.room.part(), told: None };
+        let mut unread_part = Unread { read: BytesMut::new(), part: self.room.part(), told: None };
+        // Others have been given way to before an attempt begins.
+        let mut caught_up = false;
         loop {
             if let Err(e) = self.exchange.fill() {
                 return Some(e.to_string());
             }
             let waiting = !self.exchange.outbox().is_empty() || self.could_begin();
-            let listens = self.exchange.listens(unread.read.len());
+            let listens = self.exchange.listens(unread_part.read.len());
             let stirred = self.exchange.stirred();
             tokio::select! {
                 // Reading comes first: a node that has closed is seen before a request is written to it.
@@ -280,19 +297,23 @@
                     if let Err(e) = ready {
                         return Some(e.to_string());
                     }
-                    unread.read.reserve(READ);
-                    match stream.try_read_buf(&mut unread.read) {
+                    unread_part.read.reserve(READ);
+                    match stream.try_read_buf(&mut unread_part.read) {
                         Ok(0) => return Some("closed by the node".to_string()),
                         Ok(_) => {}
-                        Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => continue,
+                        Err(e) if is_short_of_memory(&e) => {
+                            tokio::time::sleep(REST).await;
+                            continue;
+                        }
+                        Err(e) if passes(&e) => continue,
                         Err(e) => return Some(e.to_string()),
                     }
-                    if let Err(reason) = self.receive(&mut unread) {
+                    if let Err(reason) = self.receive(&mut unread_part) {
                         return Some(reason);
                     }
                 }
                 () = stir(stirred) => {
-                    if let Err(reason) = self.receive(&mut unread) {
+                    if let Err(reason) = self.receive(&mut unread_part) {
                         return Some(reason);
                     }
                 }
@@ -305,8 +326,20 @@
                     if let Err(e) = ready {
                         return Some(e.to_string());
                     }
+                    if self.could_begin() && !caught_up {
+                        // A client may have gone while nobody read, and its request not be wanted any more.
+                        caught_up = true;
+                        self.pulse.catch_up().await;
+                        continue;
+                    }
+                    caught_up = false;
+                    if self.could_begin() && self.exchange.rests() && unread(&stream) != Lying::Nothing {
+                        // A second answer, or the node's end: nothing is begun behind it. It is read first.
+                        tokio::task::yield_now().await;
+                        continue;
+                    }
                     // Here, and nowhere before: what is not handed to the socket has not been sent.
-                    let now = self.clock.now();
+                    let now = self.pulse.now();
                     if now >= self.permit.lease.get() {
                         return Some("no lease".to_string());
                     }
@@ -323,7 +356,8 @@
                     }
                     match stream.try_write_vectored(&outbox.slices()) {
                         Ok(n) => outbox.wrote(n),
-                        Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
+                        Err(e) if is_short_of_memory(&e) => tokio::time::sleep(REST).await,
+                        Err(e) if passes(&e) => {}
                         Err(e) => return Some(e.to_string()),
                     }
                 }
@@ -351,7 +385,7 @@
                 }
             }
         }
-        let (now, patience) = (self.clock.now(), self.exchange.patience(unread.read.len()));
+        let (now, patience) = (self.pulse.now(), self.exchange.patience(unread.read.len()));
         let told = unread.told.map(|(patience, _)| patience);
         let lately = unread.told.is_some_and(|(_, at)| now - at < COMING);
         // Of a short reply each part is told; of a long one, now and then.
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -11,4 +11,5 @@
 pub mod raft;
 pub mod resp;
 pub mod session;
+pub mod socket;
 pub mod watch;
--- a/src/wire/resp/client.rs
+++ b/src/wire/resp/client.rs
@@ -111,6 +111,10 @@
         self.sending.is_none()
     }
 
+    fn rests(&self) -> bool {
+        self.out.is_empty() && self.passing.is_none()
+    }
+
     fn outbox(&mut self) -> &mut Outbox {
         &mut self.outbox
     }
--- a/src/wire/session.rs
+++ b/src/wire/session.rs
@@ -9,6 +9,7 @@
 use crate::state::planner::{Answer, Ask, Back, Input, Wire};
 use crate::state::seats::{Seat, Spare};
 use crate::wire::clock::Pulse;
+use crate::wire::socket::{is_short_of_memory, passes, unread, Unread, REST};
 use bytes::BytesMut;
 use std::time::Duration;
 use tokio::io::Interest;
@@ -26,10 +27,9 @@
 const LOOK: Duration = Duration::from_millis(40);
 /// Answers of a client that does not read them wait up to this many bytes; then nothing more is taken.
 const MOST_UNREAD: u64 = 64 * 1024;
-/// How long a closing connection is read on, so that the answers before its end are not lost to a reset.
+/// How long a closing connection is kept for its client to close, so that the answers before its end are not lost to a
+/// reset.
 const LINGER: Duration = Duration::from_millis(100);
-/// How much is read meanwhile: one that goes on sending is not worth more.
-const MOST_LINGERED: usize = 128 * 1024;
 /// How long a connection may have nothing open, or a command unfinished: not more, since clients have only so
 /// many connections, and those that ask once and stay would use them up.
 const PATIENCE: Time = 2_000_000;
@@ -174,6 +174,8 @@
     let mut pace = Pace::new(pulse.now());
     // What was read while nothing was taken.
     let mut untaken = false;
+    // Why the broker itself ends it under what it owes.
+    let mut reason = None;
     let ways = Ways { planner, back, pulse };
     let _ = stream.set_nodelay(true);
     loop {
@@ -193,25 +195,41 @@
         let closes = stands.closes_at(pace.since, pace.used).filter(|_| idle && pace.begun.is_none());
         let deaf = stands.deaf_at().filter(|_| !idle);
         if over && waiting {
+            reason = Some("its answers were not read");
             break;
         }
-        if (over || (gives_way && seat.is_called())) && pace.begun.take().is_some() && !session.ending() {
-            session.hurry();
-            continue;
-        }
         let wanted = seat.is_called() || closes.is_some_and(|at| at <= now);
         if idle && session.ending() {
+            tracing::debug!(reason = "ended by its client or by what it sent", "client closed");
             return close(stream).await;
         }
-        if idle && (over || wanted) {
-            // What has just come is served first. With nothing unread, closing loses no answer.
-            match stream.try_read_buf(&mut read) {
-                Ok(1..) => ways.take(&mut session, &mut pace, &mut read),
-                // What crosses the end must not reset away an answer that is on its way.
-                Err(_) if pace.used => return close(stream).await,
-                _ => return,
+        let unfinished = pace.begun.is_some() && (over || (gives_way && seat.is_called()));
+        if unfinished || (idle && (over || wanted)) {
+            // The clock may have run while nobody read: what has come is taken first. The runtime is asked to look again.
+            let reads = stands.deaf_at().is_none_or(|at| at > now);
+            if reads && unread(&stream) == Unread::Bytes && !session.ending() {
+                tokio::task::yield_now().await;
+                match stream.try_read_buf(&mut read) {
+                    Ok(1..) => {
+                        ways.take(&mut session, &mut pace, &mut read);
+                        continue;
+                    }
+                    Err(error) if passes(&error) => continue,
+                    _ => {}
+                }
+            }
+            if unfinished && pace.begun.take().is_some() && !session.ending() {
+                session.hurry();
+                continue;
+            }
+            if idle {
+                tracing::debug!(over, called = seat.is_called(), phase = ?stands, used = pace.used, "client closed");
+                match pace.used {
+                    // What crosses the end must not reset away an answer that is on its way.
+                    true => return close(stream).await,
+                    false => return,
+                }
             }
-            continue;
         }
         let wakes = [deadline, closes, deaf.filter(|at| *at > now)];
         seat.set_deadline(wakes.into_iter().flatten().min());
@@ -244,7 +262,8 @@
                         session.wrote(n);
                         pace.wrote(ways.pulse.now());
                     }
-                    Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
+                    Err(e) if is_short_of_memory(&e) => tokio::time::sleep(REST).await,
+                    Err(e) if passes(&e) => {}
                     Err(_) => break,
                 }
             }
@@ -253,7 +272,11 @@
                 match ready.and_then(|()| stream.try_read_buf(&mut read)) {
                     Ok(0) => break,
                     Ok(_) => {}
-                    Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => continue,
+                    Err(e) if is_short_of_memory(&e) => {
+                        tokio::time::sleep(REST).await;
+                        continue;
+                    }
+                    Err(e) if passes(&e) => continue,
                     Err(_) => break,
                 }
                 if open {
@@ -285,7 +308,12 @@
         }
     }
     // The client is gone; what it was owed is nobody's any more.
-    for id in session.owed() {
+    let owed = session.owed();
+    match reason.filter(|_| !owed.is_empty()) {
+        Some(reason) => tracing::warn!(reason, ?owed, "client closed under what it is owed"),
+        None => tracing::debug!(?owed, "client gone"),
+    }
+    for id in owed {
         let _ = ways.planner.send(Input::Gone(id));
     }
 }
@@ -325,21 +353,17 @@
     }
 }
 
-/// Ends a connection so that what was written arrives: closing a socket with unread bytes would reset it.
+/// Ends a connection so that what was written arrives. Nothing is read any more: a request that crosses the end is not
+/// taken, and its client, which sees the connection end, sends it elsewhere.
 pub(super) async fn close(mut stream: TcpStream) {
-    use tokio::io::{AsyncReadExt, AsyncWriteExt};
-    let mut rest = [0; 4096];
-    let drained = async {
+    use tokio::io::AsyncWriteExt;
+    let ended = async {
         let _ = stream.shutdown().await;
-        let mut left = MOST_LINGERED;
-        while let Ok(n @ 1..) = stream.read(&mut rest).await {
-            left = left.saturating_sub(n);
-            if left == 0 {
-                return;
-            }
+        while !has_closed(&stream).await {
+            tokio::time::sleep(LOOK / 4).await;
         }
     };
-    let _ = tokio::time::timeout(LINGER, drained).await;
+    let _ = tokio::time::timeout(LINGER, ended).await;
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/src/wire/socket.rs
@@ -0,0 +1,72 @@
+//! What a socket holds at this moment, asked of the system itself, and what its errors say.
+//!
+//! The runtime's own word on whether a socket can be read is as old as its last look at all sockets. Whoever closes a
+//! connection by a clock, or begins something on one that rested, must know what lies there now.
+
+use std::io::{Error, ErrorKind};
+use std::mem::MaybeUninit;
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// How long to rest after an error that passes, so that it is not met again and again at once.
+pub const REST: Duration = Duration::from_millis(2);
+
+/// What lies unread on a socket.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unread {
+    /// Nothing, and more may come.
+    Nothing,
+    /// Some bytes.
+    Bytes,
+    /// The other side's end, or an error.
+    End,
+}
+
+/// Looks at what lies unread on a socket, and takes nothing of it.
+pub fn unread(stream: &TcpStream) -> Unread {
+    let mut byte = [MaybeUninit::uninit()];
+    loop {
+        return match socket2::SockRef::from(stream).peek(&mut byte) {
+            Ok(1..) => Unread::Bytes,
+            Ok(0) => Unread::End,
+            Err(error) if error.kind() == ErrorKind::Interrupted => continue,
+            Err(error) if passes(&error) => Unread::Nothing,
+            Err(_) => Unread::End,
+        };
+    }
+}
+
+/// Whether an error of a read or a write says nothing about the connection: it works when tried again.
+pub fn passes(error: &Error) -> bool {
+    matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) || is_short_of_memory(error)
+}
+
+/// Whether the system had no memory for a moment: trying again at once would meet the same.
+pub fn is_short_of_memory(error: &Error) -> bool {
+    matches!(error.raw_os_error(), Some(libc::ENOBUFS | libc::ENOMEM))
+}
+
+/// What a connection that did not come up says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NotUp {
+    /// The other side said no, or nobody listens.
+    Refused,
+    /// It was waited for in vain, or the network has no way to that host.
+    Unreached,
+    /// This machine could not try: no descriptor, port, memory or network. It says nothing about the other side.
+    Here,
+}
+
+/// What an error of a connect says.
+pub fn not_up(error: &Error) -> NotUp {
+    match error.raw_os_error() {
+        Some(libc::ECONNREFUSED | libc::ECONNRESET) => NotUp::Refused,
+        Some(libc::ETIMEDOUT | libc::EHOSTUNREACH | libc::EHOSTDOWN) => NotUp::Unreached,
+        Some(_) => NotUp::Here,
+        // A text that is no address, as a list may hold one.
+        None => NotUp::Unreached,
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/wire/watch.rs
+++ b/src/wire/watch.rs
@@ -2,19 +2,21 @@
 //! [`Told`].
 
 use super::discovery::{self, Listing, NodeNumbers, Response};
+use super::socket::{is_short_of_memory, not_up, passes, NotUp};
 use crate::interface::{ListKind, Time};
 use crate::state::planner::{Input, Wire};
+use crate::state::starts::Starts;
 use crate::state::told::{Failure, Step, Terms, Told};
-use crate::state::upkeep::Upkeep;
-use crate::wire::clock::Clock;
+use crate::state::upkeep::{Listed, Upkeep};
+use crate::wire::clock::Pulse;
 use crate::wire::link::Permit;
 use bytes::BytesMut;
 use std::cell::{Cell, RefCell};
 use std::future::Future;
+use std::io::ErrorKind;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
@@ -23,6 +25,10 @@
 const REST: Duration = Duration::from_millis(100);
 /// How long all of it may take, however it drips.
 const WHOLE: Duration = Duration::from_millis(500);
+/// Room for a read.
+const READ: usize = 64 * 1024;
+/// Nodes of a list that are told at once.
+const MOST_AT_ONCE: usize = 128;
 /// How long the connection may take to come up.
 const CONNECT: Duration = Duration::from_millis(1_000);
 
@@ -46,8 +52,10 @@
     pub terms: Rc<Cell<Terms>>,
     /// Where links see until when the list holds.
     pub permit: Permit,
-    /// The time.
-    pub clock: Clock,
+    /// When nodes have started, by this machine's clock.
+    pub starts: Starts,
+    /// The time, and how late this process runs.
+    pub pulse: Pulse,
 }
 
 /// A connection that serves another call.
@@ -62,13 +70,16 @@
         let mut kept: Kept = None;
         let mut held = false;
         loop {
-            let now = self.clock.now();
+            // A call is not given up, nor the list held to be old, for what lies unread here.
+            self.pulse.catch_up().await;
+            let now = self.pulse.now();
             self.told.retune(self.terms.get());
             match self.told.step(now) {
                 Step::Wait => {}
                 Step::Call(wait) => {
                     let address = self.address.borrow_and_update().clone();
-                    calling = Some(Box::pin(call(address, self.revision.get(), wait, kept.take())));
+                    let (revision, pulse) = (self.revision.get(), self.pulse.clone());
+                    calling = Some(Box::pin(call(address, revision, wait, kept.take(), pulse)));
                 }
                 Step::GiveUp => {
                     calling = None;
@@ -80,8 +91,8 @@
             self.permit.list.set(until);
             if std::mem::replace(&mut held, now >= until) != held {
                 tracing::warn!(held, "list of nodes out of date");
-                let told = self.upkeep.borrow_mut().outdate(now, held);
-                if self.planner.send(Input::Nodes(ListKind::Changes, told)).is_err() {
+                let suspended = self.upkeep.borrow_mut().outdate(held);
+                if self.planner.send(Input::Suspended(suspended)).is_err() {
                     return;
                 }
             }
@@ -92,18 +103,18 @@
                 biased;
                 answer = answer(&mut calling) => {
                     calling = None;
-                    tracing::debug!(waited = self.clock.now() - now, ok = answer.is_ok(), "call to discovery");
+                    tracing::debug!(waited = self.pulse.now() - now, ok = answer.is_ok(), "call to discovery");
                     match answer.and_then(|(response, keep)| Ok((self.listing(response)?, keep))) {
                         Ok((listing, keep)) => {
                             kept = keep;
-                            self.told.answered(self.clock.now());
-                            if !self.take(listing) {
+                            self.told.answered(self.pulse.now());
+                            if !self.take(listing).await {
                                 return;
                             }
                         }
                         Err((failure, reason)) => {
                             tracing::warn!(reason, "list of nodes lost");
-                            self.told.failed(self.clock.now(), failure);
+                            self.told.failed(self.pulse.now(), failure);
                         }
                     }
                 }
@@ -113,9 +124,9 @@
                     }
                     // The version holds at the new address, too: nothing that was told is asked for again.
                     (calling, kept) = (None, None);
-                    self.told.moved(self.clock.now());
+                    self.told.moved(self.pulse.now());
                 }
-                () = tokio::time::sleep_until(self.clock.instant(wake).into()) => {}
+                () = tokio::time::sleep_until(self.pulse.clock().instant(wake).into()) => {}
             }
         }
     }
@@ -131,16 +142,45 @@
         }
     }
 
-    /// Takes a list; false if the planner is gone.
-    fn take(&mut self, listing: Listing) -> bool {
+    /// Takes a list; false if the planner is gone. Only what has changed goes on, in parts between which others are given
+    /// way to: what a long list says must not hold up an answer.
+    async fn take(&mut self, listing: Listing) -> bool {
+        let now = self.pulse.now();
         self.revision.set(listing.revision);
         let kind = listing.kind();
-        let listed = listing.into_listed(&mut self.numbers, &self.zones.borrow());
-        let members = self.upkeep.borrow_mut().list(self.clock.now(), kind, listed);
+        let mut listed = listing.into_listed(&mut self.numbers, &self.zones.borrow());
+        self.date(now, &mut listed);
+        let named = listed.len();
+        let mut members = self.upkeep.borrow_mut().changes(now, kind, listed);
+        self.pulse.spent("laying a list over the last one", now);
+        if named > 0 || !members.is_empty() {
+            let (revision, changed) = (self.revision.get(), members.len());
+            tracing::info!(?kind, revision, nodes = named, changed, "list of nodes");
+        }
+        while !members.is_empty() {
+            let rest = members.split_off(members.len().min(MOST_AT_ONCE));
+            if self.planner.send(Input::Nodes(ListKind::Changes, members)).is_err() {
+                return false;
+            }
+            members = rest;
+            tokio::task::yield_now().await;
+        }
+        true
+    }
+
+    /// Puts this machine's clock in the place of the wall clock.
+    fn date(&mut self, now: Time, listed: &mut [Listed]) {
+        let moved = self.starts.begin(self.pulse.clock().wall_step());
+        let moved: Vec<Listed> = self.upkeep.borrow().dated(moved);
+        for listed in listed {
+            let entry = &mut listed.member.entry;
+            entry.started = self.starts.adopt(now, entry.node, entry.started);
+        }
+        self.starts.end(now);
+        let members = self.upkeep.borrow_mut().changes(now, ListKind::Changes, moved);
         if !members.is_empty() {
-            tracing::info!(?kind, revision = self.revision.get(), nodes = members.len(), "list of nodes");
+            let _ = self.planner.send(Input::Nodes(ListKind::Changes, members));
         }
-        self.planner.send(Input::Nodes(kind, members)).is_ok()
     }
 }
 
@@ -158,54 +198,88 @@
     revision: u64,
     wait: Time,
     kept: Kept,
+    pulse: Pulse,
 ) -> Result<(Response, Kept), (Failure, String)> {
-    let ended = |e: std::io::Error| (Failure::Ended, e.to_string());
-    let mut stream = match kept {
+    let stream = match kept {
         Some(stream) => stream,
-        None => match tokio::time::timeout(CONNECT, TcpStream::connect(&address)).await {
-            Err(_) => return Err((Failure::NotUp, "connecting timed out".to_string())),
-            Ok(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused => {
-                return Err((Failure::Away, e.to_string()))
-            }
-            Ok(Err(e)) if e.kind() != std::io::ErrorKind::ConnectionReset => {
-                // No descriptor, no route: that is this machine's word, and proves nothing of discovery.
-                return Err((Failure::NotUp, e.to_string()));
-            }
-            Ok(connected) => connected.map_err(ended)?,
-        },
+        None => connect(&address).await?,
     };
     let call = discovery::watch_call(&address, revision, (wait / 1000).max(1));
-    stream.write_all(call.as_bytes()).await.map_err(ended)?;
-    let mut read = BytesMut::with_capacity(4096);
-    let mut first = None;
+    write_all(&stream, call.as_bytes()).await.map_err(|e| (Failure::Ended, e.to_string()))?;
+    let mut read = BytesMut::with_capacity(READ);
+    // How long has been waited for more of an answer that has begun. What this process itself was late is no wait.
+    let mut waited = None;
     loop {
-        let more = stream.read_buf(&mut read);
-        let more = match first {
-            None => Ok(more.await),
-            Some(first) => {
-                let now = tokio::time::Instant::now();
-                tokio::time::timeout_at((now + REST).min(first + WHOLE), more).await
+        let failure = if waited.is_some() { Failure::Spoilt } else { Failure::Ended };
+        let from = tokio::time::Instant::now();
+        let came = match waited {
+            None => stream.readable().await,
+            Some(waited) => {
+                let patience = REST.min(WHOLE.saturating_sub(waited));
+                match tokio::time::timeout(patience, stream.readable()).await {
+                    Ok(came) => came,
+                    Err(_) => return Err((failure, "the rest of an answer does not come".to_string())),
+                }
             }
         };
-        let failure = if first.is_some() { Failure::Spoilt } else { Failure::Ended };
-        first = first.or(Some(tokio::time::Instant::now()));
-        match more {
-            Err(_) => return Err((failure, "the rest of an answer does not come".to_string())),
-            Ok(Err(e)) => return Err((failure, e.to_string())),
+        came.map_err(|e| (failure, e.to_string()))?;
+        let more = waited.map_or(Duration::ZERO, |waited: Duration| waited + from.elapsed().min(REST));
+        read.reserve(READ);
+        match stream.try_read_buf(&mut read) {
+            Err(e) if passes(&e) => {
+                waited = waited.map(|_| more);
+                continue;
+            }
+            Err(e) => return Err((failure, e.to_string())),
             // The end is the end of an answer that tells no length; a reset is none.
-            Ok(Ok(0)) => {
+            Ok(0) => {
                 return match discovery::decode_ended(&mut read) {
                     Ok(Some(response)) => Ok((response, None)),
                     Ok(None) => Err((failure, "closed by discovery".to_string())),
                     Err(e) => Err((Failure::Spoilt, e.to_string())),
                 }
             }
-            Ok(Ok(_)) => {}
+            Ok(_) => waited = Some(more),
         }
-        match discovery::decode(&mut read) {
+        let begun = pulse.now();
+        let decoded = discovery::decode(&mut read);
+        pulse.spent("reading a list", begun);
+        match decoded {
             Ok(None) => {}
             Ok(Some((response, keep))) => return Ok((response, Some(stream).filter(|_| keep))),
             Err(e) => return Err((Failure::Spoilt, e.to_string())),
         }
+        tokio::task::yield_now().await;
+    }
+}
+
+/// A new connection to discovery. Only its own word says something of it: no descriptor or no route is this machine's.
+async fn connect(address: &str) -> Result<TcpStream, (Failure, String)> {
+    match tokio::time::timeout(CONNECT, TcpStream::connect(address)).await {
+        Err(_) => Err((Failure::NotUp, "connecting timed out".to_string())),
+        Ok(Ok(stream)) => Ok(stream),
+        Ok(Err(e)) => {
+            let failure = match (e.kind(), not_up(&e)) {
+                (ErrorKind::ConnectionReset, _) => Failure::Ended,
+                (_, NotUp::Refused) => Failure::Away,
+                (_, NotUp::Unreached | NotUp::Here) => Failure::NotUp,
+            };
+            Err((failure, e.to_string()))
+        }
+    }
+}
+
+/// Writes all of it, however little the system takes at once.
+async fn write_all(stream: &TcpStream, mut bytes: &[u8]) -> std::io::Result<()> {
+    while !bytes.is_empty() {
+        stream.writable().await?;
+        match stream.try_write(bytes) {
+            Ok(0) => return Err(ErrorKind::WriteZero.into()),
+            Ok(n) => bytes = &bytes[n..],
+            Err(e) if is_short_of_memory(&e) => tokio::time::sleep(super::socket::REST).await,
+            Err(e) if passes(&e) => {}
+            Err(e) => return Err(e),
+        }
     }
+    Ok(())
 }
