Load faults of system calls and clocks into a broker under test, and blame no node for them

Change: crates/shim is loaded with LD_PRELOAD; it fails accept, connect, recv, send and writev as Linux documents, cuts reads and writes short, holds the process up behind its look at the sockets, and steps the wall clock. Ending::NoLink says that this host had no connection: the request keeps its attempts and is tried again 10 ms later.

tests/planner.rs without_a_link_an_attempt_is_unreachable_at_once asked that the node be blamed; it is replaced by without_a_link_a_request_waits_and_its_node_is_not_blamed, which asks for the same final answer, no blame, and a send once there is a link.

--- /dev/null
+++ b/crates/shim/src/lib.rs
@@ -0,0 +1,253 @@
+//! System calls that fail or come late as Linux documents. Loaded into a broker under test with `LD_PRELOAD`; what it
+//! does is read from `$CLAYWINCH_SHIM`, as `name=value` pairs with commas between them:
+//!
+//! | name | value |
+//! | --- | --- |
+//! | `seed` | of the draws |
+//! | `from_ms`, `to_ms` | when since the first call the faults begin and end |
+//! | `accept`, `connect`, `recv`, `send` | of 10,000 calls so many fail, each time with another documented error |
+//! | `short` | of 10,000 reads and writes so many move one byte only |
+//! | `stall` | of 10,000 waits so many are held up after the system has looked at the sockets, so that what the process knows of them is old |
+//! | `stall_ms` | for how long at most |
+//! | `wall_ms` | how far the wall clock is off from the start |
+//! | `step_ms`, `step_at_ms` | how far it is stepped, and when |
+//!
+//! The only crate with `unsafe` code, which the C interface needs.
+
+use libc::{c_int, c_void, clockid_t, epoll_event, iovec, size_t, sockaddr, socklen_t, ssize_t, timespec};
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::OnceLock;
+
+/// Draws are out of so many.
+const OUT_OF: u64 = 10_000;
+const MILLION: i64 = 1_000_000;
+const BILLION: i64 = 1_000_000_000;
+
+/// What is to be done, from the environment.
+#[derive(Debug, Default, Clone, Copy)]
+struct Plan {
+    seed: u64,
+    from_ms: i64,
+    to_ms: i64,
+    accept: u64,
+    connect: u64,
+    recv: u64,
+    send: u64,
+    short: u64,
+    stall: u64,
+    stall_ms: u64,
+    wall_ms: i64,
+    step_ms: i64,
+    step_at_ms: i64,
+}
+
+impl Plan {
+    fn read(text: &str) -> Self {
+        let mut plan = Plan { to_ms: i64::MAX, ..Plan::default() };
+        for pair in text.split(',') {
+            let Some((name, value)) = pair.split_once('=') else { continue };
+            let number: i64 = value.trim().parse().unwrap_or(0);
+            let count = number.max(0) as u64;
+            match name.trim() {
+                "seed" => plan.seed = count,
+                "from_ms" => plan.from_ms = number,
+                "to_ms" => plan.to_ms = number,
+                "accept" => plan.accept = count,
+                "connect" => plan.connect = count,
+                "recv" => plan.recv = count,
+                "send" => plan.send = count,
+                "short" => plan.short = count,
+                "stall" => plan.stall = count,
+                "stall_ms" => plan.stall_ms = count,
+                "wall_ms" => plan.wall_ms = number,
+                "step_ms" => plan.step_ms = number,
+                "step_at_ms" => plan.step_at_ms = number,
+                _ => {}
+            }
+        }
+        plan
+    }
+}
+
+fn plan() -> &'static Plan {
+    static PLAN: OnceLock<Plan> = OnceLock::new();
+    PLAN.get_or_init(|| Plan::read(&std::env::var("CLAYWINCH_SHIM").unwrap_or_default()))
+}
+
+/// A number that nothing else has drawn.
+fn draw() -> u64 {
+    static STATE: AtomicU64 = AtomicU64::new(0);
+    let step = STATE.fetch_add(0x9e37_79b9_7f4a_7c15, Relaxed).wrapping_add(plan().seed.wrapping_mul(31));
+    let mixed = (step ^ (step >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb) >> 16
+}
+
+/// Where the next symbol of that name after this library is.
+fn next_symbol(name: &std::ffi::CStr) -> usize {
+    // SAFETY: the name is a C string, and dlsym may be called at any time.
+    unsafe { libc::dlsym(libc::RTLD_NEXT, name.as_ptr()) as usize }
+}
+
+/// The function of that name that the process would call without this library. To be used inside `unsafe`.
+macro_rules! real {
+    ($name:literal, $kind:ty) => {{
+        static FOUND: OnceLock<usize> = OnceLock::new();
+        let address = *FOUND.get_or_init(|| next_symbol($name));
+        // The C library declares the function with this signature.
+        std::mem::transmute::<usize, $kind>(address)
+    }};
+}
+
+type ClockGettime = unsafe extern "C" fn(clockid_t, *mut timespec) -> c_int;
+
+fn monotonic_ms() -> i64 {
+    let mut time = timespec { tv_sec: 0, tv_nsec: 0 };
+    // SAFETY: `time` is a valid place for the result.
+    unsafe { real!(c"clock_gettime", ClockGettime)(libc::CLOCK_MONOTONIC, &mut time) };
+    time.tv_sec * 1_000 + time.tv_nsec / MILLION
+}
+
+/// Milliseconds since the first call.
+fn age_ms() -> i64 {
+    static FIRST: OnceLock<i64> = OnceLock::new();
+    let now = monotonic_ms();
+    now - *FIRST.get_or_init(|| now)
+}
+
+/// Whether a fault of this frequency happens now.
+fn strikes(frequency: u64) -> bool {
+    if frequency == 0 {
+        return false;
+    }
+    let age = age_ms();
+    (plan().from_ms..plan().to_ms).contains(&age) && draw() % OUT_OF < frequency
+}
+
+/// Fails a call with one of these errors.
+fn fail(errors: &[c_int]) -> c_int {
+    let error = errors[draw() as usize % errors.len()];
+    // SAFETY: the place of this thread's error is always valid.
+    unsafe { *libc::__errno_location() = error };
+    -1
+}
+
+/// # Safety
+/// As `accept4` of the C library.
+#[no_mangle]
+pub unsafe extern "C" fn accept4(
+    fd: c_int,
+    address: *mut sockaddr,
+    len: *mut socklen_t,
+    flags: c_int,
+) -> c_int {
+    type Accept = unsafe extern "C" fn(c_int, *mut sockaddr, *mut socklen_t, c_int) -> c_int;
+    if strikes(plan().accept) {
+        return fail(&[
+            libc::ECONNABORTED,
+            libc::EMFILE,
+            libc::ENFILE,
+            libc::ENOBUFS,
+            libc::ENOMEM,
+            libc::EINTR,
+        ]);
+    }
+    // SAFETY: the caller's arguments are passed on.
+    unsafe { real!(c"accept4", Accept)(fd, address, len, flags) }
+}
+
+/// # Safety
+/// As `connect` of the C library.
+#[no_mangle]
+pub unsafe extern "C" fn connect(fd: c_int, address: *const sockaddr, len: socklen_t) -> c_int {
+    type Connect = unsafe extern "C" fn(c_int, *const sockaddr, socklen_t) -> c_int;
+    if strikes(plan().connect) {
+        return fail(&[
+            libc::EADDRNOTAVAIL,
+            libc::ENETUNREACH,
+            libc::EHOSTUNREACH,
+            libc::ENOBUFS,
+            libc::ETIMEDOUT,
+            libc::EINTR,
+        ]);
+    }
+    // SAFETY: the caller's arguments are passed on.
+    unsafe { real!(c"connect", Connect)(fd, address, len) }
+}
+
+/// # Safety
+/// As `recv` of the C library.
+#[no_mangle]
+pub unsafe extern "C" fn recv(fd: c_int, buffer: *mut c_void, len: size_t, flags: c_int) -> ssize_t {
+    type Recv = unsafe extern "C" fn(c_int, *mut c_void, size_t, c_int) -> ssize_t;
+    if strikes(plan().recv) {
+        return fail(&[libc::EINTR, libc::EAGAIN, libc::ENOBUFS, libc::ENOMEM]) as ssize_t;
+    }
+    let len = if strikes(plan().short) { len.min(1) } else { len };
+    // SAFETY: the caller's arguments are passed on, with a length that is no larger.
+    unsafe { real!(c"recv", Recv)(fd, buffer, len, flags) }
+}
+
+/// # Safety
+/// As `send` of the C library.
+#[no_mangle]
+pub unsafe extern "C" fn send(fd: c_int, buffer: *const c_void, len: size_t, flags: c_int) -> ssize_t {
+    type Send = unsafe extern "C" fn(c_int, *const c_void, size_t, c_int) -> ssize_t;
+    if strikes(plan().send) {
+        return fail(&[libc::EINTR, libc::EAGAIN, libc::ENOBUFS]) as ssize_t;
+    }
+    let len = if strikes(plan().short) { len.min(1) } else { len };
+    // SAFETY: the caller's arguments are passed on, with a length that is no larger.
+    unsafe { real!(c"send", Send)(fd, buffer, len, flags) }
+}
+
+/// # Safety
+/// As `writev` of the C library.
+#[no_mangle]
+pub unsafe extern "C" fn writev(fd: c_int, parts: *const iovec, count: c_int) -> ssize_t {
+    type Writev = unsafe extern "C" fn(c_int, *const iovec, c_int) -> ssize_t;
+    // The log and eventfds are not meant: only what is written in several parts or to a socket comes here.
+    if fd > 2 && strikes(plan().send) {
+        return fail(&[libc::EINTR, libc::EAGAIN, libc::ENOBUFS]) as ssize_t;
+    }
+    let count = if fd > 2 && strikes(plan().short) { count.min(1) } else { count };
+    // SAFETY: the caller's arguments are passed on, with a count that is no larger.
+    unsafe { real!(c"writev", Writev)(fd, parts, count) }
+}
+
+/// # Safety
+/// As `epoll_wait` of the C library.
+#[no_mangle]
+pub unsafe extern "C" fn epoll_wait(
+    fd: c_int,
+    events: *mut epoll_event,
+    most: c_int,
+    timeout: c_int,
+) -> c_int {
+    type Wait = unsafe extern "C" fn(c_int, *mut epoll_event, c_int, c_int) -> c_int;
+    // SAFETY: the caller's arguments are passed on.
+    let found = unsafe { real!(c"epoll_wait", Wait)(fd, events, most, timeout) };
+    if strikes(plan().stall) {
+        let wait = draw() % plan().stall_ms.max(1);
+        std::thread::sleep(std::time::Duration::from_millis(wait));
+    }
+    found
+}
+
+/// # Safety
+/// As `clock_gettime` of the C library.
+#[no_mangle]
+pub unsafe extern "C" fn clock_gettime(clock: clockid_t, time: *mut timespec) -> c_int {
+    // SAFETY: the caller's arguments are passed on.
+    let result = unsafe { real!(c"clock_gettime", ClockGettime)(clock, time) };
+    let plan = plan();
+    if result != 0 || clock != libc::CLOCK_REALTIME || (plan.wall_ms == 0 && plan.step_ms == 0) {
+        return result;
+    }
+    let stepped = plan.step_ms != 0 && age_ms() >= plan.step_at_ms;
+    let off = plan.wall_ms + if stepped { plan.step_ms } else { 0 };
+    // SAFETY: the call has succeeded, so it has written there.
+    let time = unsafe { &mut *time };
+    let moved = time.tv_sec * BILLION + time.tv_nsec + off * MILLION;
+    (time.tv_sec, time.tv_nsec) = (moved.div_euclid(BILLION), moved.rem_euclid(BILLION));
+    result
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -240,6 +240,8 @@
     Cancelled,
     /// It was not sent: it never ran.
     NotSent,
+    /// This host had no connection to send it on: it never ran, and that says nothing about the node.
+    NoLink,
 }
 
 /// The end of an attempt.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -61,6 +61,8 @@
 const MOST_SENDS: usize = 256;
 /// How soon the next heads are looked at, where one turn does not look at all.
 const NEXT_HEADS: Time = 5_000;
+/// How soon a request is tried again that this host could not send, such as for want of a connection.
+const SEND_AGAIN: Time = 10_000;
 /// How soon a turn follows one that left something over to send.
 const NEXT_TURN: Time = 500;
 /// What a new connection costs a node and the first request on it, in units of work: a node that this host has an
@@ -108,6 +110,8 @@
     /// Part of its worth that it earns in time: all in the reserve, less in the share, least as spare.
     part: f64,
     tries: u32,
+    /// Those of them for which this host had no connection.
+    not_sent: u32,
     out: u32,
     /// Send, node and number of the first attempt that may have run.
     maybe: Option<(Time, NodeId, u32)>,
@@ -730,7 +734,7 @@
 
     fn may_repeat(&self, now: Time, request: &Request, node: NodeId) -> bool {
         let class = &self.set.classes[request.class];
-        if request.spent || request.tries >= class.attempts || request.out > 0 {
+        if request.spent || request.tries - request.not_sent >= class.attempts || request.out > 0 {
             return false;
         }
         let Some((sent, first, _)) = request.maybe else { return true };
@@ -814,9 +818,13 @@
             }
         }
         self.judge(now, o.node, acts);
-        let never_ran = matches!(o.ending, Ending::Full | Ending::Unreachable | Ending::NotSent);
+        let never_ran = {
+            use Ending::*;
+            matches!(o.ending, Full | Unreachable | NotSent | NoLink)
+        };
         if let Some(request) = self.requests.get_mut(&o.id) {
             request.out = request.out.saturating_sub(1);
+            request.not_sent += u32::from(o.ending == Ending::NoLink);
             let own = if o.ending == Ending::Served { request.units } else { 0.0 };
             let set = &self.set;
             let told = |_: &&mut Volume| set.tells_elsewhere || o.used.is_some();
@@ -843,6 +851,10 @@
             } else {
                 // The gate asks again when there is room.
                 match self.may_repeat(now, &self.requests[&o.id], o.node) {
+                    // It would meet the same at once.
+                    true if o.ending == Ending::NoLink => {
+                        self.agenda.insert((now + SEND_AGAIN, Wake::Limit(o.id)));
+                    }
                     true => self.enqueue(o.id),
                     false => self.give_up(now, o.id, acts),
                 }
--- a/src/rules/node.rs
+++ b/src/rules/node.rs
@@ -162,7 +162,7 @@
         if matches!(o.ending, Ending::Served | Ending::Error | Ending::Full) {
             self.last_answer = now;
         }
-        if !matches!(o.ending, Ending::Full | Ending::Unreachable | Ending::NotSent | Ending::Cancelled) {
+        if matches!(o.ending, Ending::Served | Ending::Error | Ending::TimedOut | Ending::Reset) {
             self.faults.add(now, if o.ending == Ending::Served { 0.0 } else { 1.0 }, 1.0);
         }
         match o.ending {
@@ -171,7 +171,7 @@
             Ending::Unreachable if o.waited < REFUSED => self.strikes += STRIKES,
             Ending::TimedOut | Ending::Unreachable => self.strikes += 2,
             Ending::Full => self.strikes += STRIKES,
-            Ending::Cancelled | Ending::NotSent => {}
+            Ending::Cancelled | Ending::NotSent | Ending::NoLink => {}
         }
     }
 
--- a/src/state/planner.rs
+++ b/src/state/planner.rs
@@ -221,7 +221,7 @@
     /// Links opened.
     pub opened: u64,
     /// Attempts by ending, in the order of [`Ending`].
-    pub endings: [u64; 8],
+    pub endings: [u64; 9],
 }
 
 /// The planner of one broker and one fleet of nodes.
@@ -592,7 +592,7 @@
             Pick::Full => {
                 // All that this process may open are in use: that says nothing about the node.
                 self.attempts.insert(tag, attempt);
-                self.ended(now, tag, End::bare(Ending::NotSent));
+                self.ended(now, tag, End::bare(Ending::NoLink));
                 return;
             }
         };
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -203,7 +203,11 @@
         while let Ok(order) = self.orders.try_recv() {
             self.take(order);
         }
-        let never = if down == Down::Never { Ending::Unreachable } else { Ending::NotSent };
+        let never = match down {
+            Down::Never => Ending::Unreachable,
+            Down::Here => Ending::NoLink,
+            Down::Ended => Ending::NotSent,
+        };
         for (tag, ..) in std::mem::take(&mut self.queue) {
             let _ = self.planner.send(Input::Ended(self.id, tag, End::bare(never)));
         }
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -109,14 +109,27 @@
     assert_eq!(closed(&b.turn(1000, vec![Input::Gone(1)])), [0]);
 }
 
-/// Guards against waiting for a link that cannot be had: the scheduler is told in the same turn.
+/// Guards against a node that is blamed for a link that this process cannot have, against a request that uses up its
+/// attempts for that, and against one that is not sent once there is a link.
 #[test]
-fn without_a_link_an_attempt_is_unreachable_at_once() {
+fn without_a_link_a_request_waits_and_its_node_is_not_blamed() {
     let mut b = Bench::new(0);
     let input = b.request(Ask { class: 2, ..ask(1) });
     assert!(sent(&b.turn(0, vec![input])).is_empty());
     let counts = b.planner.take_counts();
-    assert_eq!((counts.sent, counts.endings[Ending::Unreachable as usize]), (1, 1));
+    assert_eq!((counts.sent, counts.endings[Ending::NoLink as usize]), (1, 1));
+    for _ in 0..20 {
+        assert!(sent(&b.turn(10_000, vec![])).is_empty());
+    }
+    let counts = b.planner.take_counts();
+    assert!(counts.endings[Ending::NoLink as usize] > 4, "it is tried again and again: {counts:?}");
+    assert_eq!(counts.endings[Ending::Unreachable as usize], 0);
+    let input = Input::Links(Some(1));
+    let there = [b.turn(10_000, vec![input]), b.turn(10_000, vec![])];
+    assert_eq!(there.iter().map(|effects| sent(effects).len()).sum::<usize>(), 1, "once there is a link");
+    let mut b = Bench::new(0);
+    let input = b.request(Ask { class: 2, ..ask(1) });
+    b.turn(0, vec![input]);
     while b.planner.load().0 > 0 {
         let next = b.planner.next_deadline().expect("something is to come") - b.now;
         b.turn(next.max(1), vec![]);
