--- a/crates/lab/src/fleet/clients.rs
+++ b/crates/lab/src/fleet/clients.rs
@@ -1,6 +1,7 @@
 //! Clients with open-loop arrivals: connections are kept and used again; each request has its record.
 
 use super::audit::{Audit, Fate, Record};
+use super::proxy::Refused;
 use super::{Draw, RunClock};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -41,6 +42,8 @@
     audit: Arc<Audit>,
     clock: RunClock,
     tag: u64,
+    /// See [`proxy::start`](super::proxy::start).
+    refused: Refused,
 }
 
 /// A request as it goes out.
@@ -61,9 +64,9 @@
 
 impl Clients {
     /// Clients of the broker at this address; ids of their requests begin with `tag`.
-    pub fn new(address: String, clock: RunClock, audit: Arc<Audit>, tag: u64) -> Arc<Self> {
+    pub fn new(address: String, clock: RunClock, audit: Arc<Audit>, tag: u64, refused: Refused) -> Arc<Self> {
         let (address, idle) = (Mutex::new(address), Mutex::default());
-        Arc::new(Clients { address, idle, audit, clock, tag })
+        Arc::new(Clients { address, idle, audit, clock, tag, refused })
     }
 
     /// Plays traffic from one second of the run to another.
@@ -151,7 +154,11 @@
             }
             Err(_) => Fate::Silent,
             Ok(None) => {
-                let fate = Fate::Closed { new };
+                let port = stream.local_addr().map_or(0, |address| address.port());
+                let fate = match self.refused.lock().expect("the refused").contains(&port) {
+                    true => Fate::NoConnection,
+                    false => Fate::Closed { new },
+                };
                 // On a connection that rested it may not have been read, which the servers' records tell.
                 if !new {
                     let forwarded = self.audit.was_tried(&ask.id);
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 pub mod clients;
 pub mod discovery;
 pub mod process;
+pub mod proxy;
 pub mod servers;
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
--- a/src/state/planner.rs
+++ b/src/state/planner.rs
@@ -3,7 +3,7 @@
 //! sockets. It knows no wire: a request and a reply pass through it unread.
 
 use super::deadlines::{Deadlines, Lateness};
-use super::pool::{Lane, LinkId, LinkTerms, Pick, Pool, PoolLimits, FEW_LINKS};
+use super::pool::{Lane, LinkId, LinkTerms, Pick, Pool, PoolLimits, Sharing, FEW_LINKS};
 use crate::interface::{Action, Arrival, Ending, Event, ListKind, NodeEntry, NodeId, NodeState};
 use crate::interface::{Outcome, RequestId, Settings, SettingsError, ShardId, Time};
 use crate::rules::Scheduler;
@@ -18,6 +18,9 @@
     /// A node's reply as the client is to get it.
     type Reply: 'static;
 
+    /// Whether several attempts may be out on one link.
+    const SHARING: Sharing = Sharing::Answers;
+
     /// Which of a node's links can carry a request.
     fn lane(_: &Self::Request) -> Lane {
         0
@@ -578,7 +581,7 @@
             self.ended(now, tag, End::bare(Ending::Unreachable));
             return;
         };
-        let pick = self.pool.pick(now, node, lane);
+        let pick = self.pool.pick(now, node, lane, W::SHARING);
         if let Pick::Replace(_, over) = pick {
             effects.push(Effect::Close(over));
         }
--- a/src/state/pool.rs
+++ b/src/state/pool.rs
@@ -61,6 +61,15 @@
     Full,
 }
 
+/// What may be out on one link at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Sharing {
+    /// Several attempts: answers name what they answer.
+    Answers,
+    /// One attempt.
+    Nothing,
+}
+
 /// What remains of a node's connection cap once it has shown itself.
 #[derive(Debug, Clone, Copy)]
 struct Cap {
@@ -72,6 +81,10 @@
 /// it, a second answer some milliseconds later, and must not be taken for the reply to the next request. On a busy machine
 /// both the node that sends it and whoever reads it may be held up by some tens of milliseconds.
 const SETTLED: Time = 100_000;
+/// The same where there is no other: a second answer comes some milliseconds late, if the machine is not busy.
+const LEAST_REST: Time = 20_000;
+/// For how long a connection that this machine could not open is taken as all that it can hold.
+const OWN_CAP_MEMORY: Time = 200_000;
 /// For how long a refused connect, while others are up, is taken as the node's cap on connections.
 const CAP_MEMORY: Time = 5_000_000;
 
@@ -106,7 +119,9 @@
     /// Chooses the link for one more attempt and counts the attempt on it. Answers queue behind one another
     /// on a link, so each attempt has one of its own while there are links; the one used last is taken, so
     /// that what a busy spell opened ages out.
-    pub fn pick(&mut self, now: Time, node: NodeId, lane: Lane) -> Pick {
+    /// Only where answers name what they answer may attempts share a link: else the second answer to one would be taken
+    /// for the answer to the next.
+    pub fn pick(&mut self, now: Time, node: NodeId, lane: Lane, sharing: Sharing) -> Pick {
         let ids = self.by_node.entry((node, lane)).or_default();
         let links = &mut self.links;
         // Nor is one taken on which something has come that nobody asked for.
@@ -132,8 +147,12 @@
                 return Pick::Replace(id, over);
             }
         }
-        let shared = |id: &LinkId| !links[id].flowing;
-        let least = || ids.iter().copied().filter(shared).min_by_key(|id| links[id].out);
+        let fits = |id: &LinkId| match sharing {
+            Sharing::Answers => !links[id].flowing,
+            Sharing::Nothing => quiet(&links[id]).is_some_and(|since| now - since >= LEAST_REST),
+        };
+        let least =
+            || ids.iter().copied().filter(fits).min_by_key(|id| (links[id].out, links[id].idle_since));
         let Some(id) = idle.or_else(least) else {
             if ids.is_empty() {
                 self.by_node.remove(&(node, lane));
@@ -225,7 +244,7 @@
 
     /// This machine could not open a link: it can hold no more than there are for a while.
     pub fn spent(&mut self, now: Time) {
-        self.own_cap = Some(Cap { links: self.links.len().max(1), until: now + CAP_MEMORY });
+        self.own_cap = Some(Cap { links: self.links.len().max(1), until: now + OWN_CAP_MEMORY });
     }
 
     /// The idle links of a node that takes no more work.
--- a/src/wire/resp.rs
+++ b/src/wire/resp.rs
@@ -9,6 +9,7 @@
 use crate::interface::Time;
 use crate::state::pipe::Taker;
 use crate::state::planner::Wire;
+use crate::state::pool::Sharing;
 use bytes::{Bytes, BytesMut};
 use std::ops::Range;
 use winnow::ascii::dec_int;
@@ -282,6 +283,8 @@
     type Request = Command;
     type Reply = Reply;
 
+    const SHARING: Sharing = Sharing::Nothing;
+
     fn flows(request: &Command) -> bool {
         matches!(request.body, Some(Body::Long(..)))
     }
--- a/src/wire/resp/server.rs
+++ b/src/wire/resp/server.rs
@@ -225,6 +225,8 @@
             return Err(b"-BUSY\r\n"); // It was sent nowhere: trying again is harmless.
         }
         self.common.open.borrow_mut().insert(owed.id.clone());
+        // The one line that tells which number in the log is which request of a client.
+        tracing::debug!(number = arrival.id, id = %id.escape_ascii(), verb, "request");
         asks.push((arrival, Command { verb, piece, id, fields: list, deadline, body }));
         Ok(Asked::Request(owed))
     }
