--- a/crates/lab/src/fleet/clients.rs
+++ b/crates/lab/src/fleet/clients.rs
@@ -113,7 +113,7 @@
     }
 
     async fn request(&self, ask: Ask) {
-        let idle = self.idle.lock().expect("idle connections").pop();
+        let idle = self.take_idle(ask.write);
         let first = match idle {
             Some(stream) => Some(self.exchange(&ask, stream, false).await),
             None => None,
@@ -182,6 +182,16 @@
         Exchange::Done
     }
 
+    /// An idle connection: the one used last, or the one that has rested for longest, which the broker may be about to
+    /// close.
+    fn take_idle(&self, oldest: bool) -> Option<TcpStream> {
+        let mut idle = self.idle.lock().expect("idle connections");
+        match oldest && !idle.is_empty() {
+            true => Some(idle.remove(0)),
+            false => idle.pop(),
+        }
+    }
+
     fn keep(&self, stream: TcpStream) {
         let mut idle = self.idle.lock().expect("idle connections");
         if idle.len() < MOST_IDLE {
--- a/crates/shim/src/lib.rs
+++ b/crates/shim/src/lib.rs
@@ -15,9 +15,11 @@
 //! The only crate with `unsafe` code, which the C interface needs.
 
 use libc::{c_int, c_void, clockid_t, epoll_event, iovec, size_t, sockaddr, socklen_t, ssize_t, timespec};
-use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::sync::OnceLock;
 
+/// Descriptors that are followed.
+const MOST_DESCRIPTORS: usize = 4096;
 /// Draws are out of so many.
 const OUT_OF: u64 = 10_000;
 const MILLION: i64 = 1_000_000;
@@ -184,8 +186,36 @@
     unsafe { real!(c"connect", Connect)(fd, address, len) }
 }
 
+/// Descriptors whose end was said, for as long as they are open.
+static ENDED: [AtomicBool; MOST_DESCRIPTORS] = [const { AtomicBool::new(false) }; MOST_DESCRIPTORS];
+
+fn ended(fd: c_int) -> Option<&'static AtomicBool> {
+    usize::try_from(fd).ok().and_then(|fd| ENDED.get(fd))
+}
+
+/// # Safety
+/// As `shutdown` of the C library.
+#[no_mangle]
+pub unsafe extern "C" fn shutdown(fd: c_int, how: c_int) -> c_int {
+    type Shutdown = unsafe extern "C" fn(c_int, c_int) -> c_int;
+    ended(fd).inspect(|ended| ended.store(true, Relaxed));
+    // SAFETY: the caller's arguments are passed on.
+    unsafe { real!(c"shutdown", Shutdown)(fd, how) }
+}
+
 /// # Safety
-/// As `recv` of the C library.
+/// As `close` of the C library.
+#[no_mangle]
+pub unsafe extern "C" fn close(fd: c_int) -> c_int {
+    type Close = unsafe extern "C" fn(c_int) -> c_int;
+    ended(fd).inspect(|ended| ended.store(false, Relaxed));
+    // SAFETY: the caller's arguments are passed on.
+    unsafe { real!(c"close", Close)(fd) }
+}
+
+/// # Safety
+/// As `recv` of the C library. Says on standard error what is read after the end of a connection was said: whoever sent
+/// that is owed an answer which cannot come any more.
 #[no_mangle]
 pub unsafe extern "C" fn recv(fd: c_int, buffer: *mut c_void, len: size_t, flags: c_int) -> ssize_t {
     type Recv = unsafe extern "C" fn(c_int, *mut c_void, size_t, c_int) -> ssize_t;
@@ -194,7 +224,13 @@
     }
     let len = if is_network(fd) && strikes(plan().short) { len.min(1) } else { len };
     // SAFETY: the caller's arguments are passed on, with a length that is no larger.
-    unsafe { real!(c"recv", Recv)(fd, buffer, len, flags) }
+    let got = unsafe { real!(c"recv", Recv)(fd, buffer, len, flags) };
+    if got > 0 && flags & libc::MSG_PEEK == 0 && ended(fd).is_some_and(|ended| ended.load(Relaxed)) {
+        let line = b"shim: read after shutdown\n";
+        // SAFETY: the line is valid for its length.
+        unsafe { libc::write(2, line.as_ptr().cast(), line.len()) };
+    }
+    got
 }
 
 /// # Safety
--- a/src/wire/clock.rs
+++ b/src/wire/clock.rs
@@ -48,6 +48,8 @@
 pub struct Pulse {
     clock: Clock,
     last: Rc<Cell<Time>>,
+    /// The beat before a late one, until one is on time: what is read between may have come since then.
+    backlog: Rc<Cell<Option<Time>>>,
     longest: Rc<Cell<Option<Stretch>>>,
 }
 
@@ -65,7 +67,7 @@
 impl Pulse {
     /// A pulse that has just beaten.
     pub fn new(clock: Clock) -> Self {
-        Pulse { clock, last: Rc::new(Cell::new(clock.now())), longest: Rc::default() }
+        Pulse { clock, last: Rc::new(Cell::new(clock.now())), backlog: Rc::default(), longest: Rc::default() }
     }
 
     /// Beats for good.
@@ -78,6 +80,7 @@
                 let (cause, took) = cause(late, longest);
                 tracing::warn!(ms = late / 1000, cause, took_ms = took / 1000, "stalled");
             }
+            self.backlog.set((late > BEAT).then_some(last));
             self.last.set(now);
         }
     }
@@ -118,7 +121,7 @@
 
     /// The earliest time at which something may have come that is read now.
     pub fn came(&self) -> Time {
-        came(self.clock.now(), self.last.get())
+        came(self.clock.now(), self.last.get(), self.backlog.get())
     }
 }
 
@@ -131,12 +134,13 @@
     }
 }
 
-/// A beat or two may be missed by chance.
-fn came(now: Time, last: Time) -> Time {
-    if now - last > 2 * BEAT {
-        last
-    } else {
-        now
+/// A beat or two may be missed by chance. Whether what waits unread is taken before or after the beat that ends a stall is
+/// chance, too.
+fn came(now: Time, last: Time, backlog: Option<Time>) -> Time {
+    match backlog {
+        Some(before) => before,
+        None if now - last > 2 * BEAT => last,
+        None => now,
     }
 }
 
@@ -146,8 +150,9 @@
 
     #[test]
     fn what_is_read_after_a_stall_may_have_come_at_its_beginning() {
-        assert_eq!(came(1_000_000, 1_000_000 - BEAT), 1_000_000);
-        assert_eq!(came(1_000_000, 900_000), 900_000);
+        assert_eq!(came(1_000_000, 1_000_000 - BEAT, None), 1_000_000);
+        assert_eq!(came(1_000_000, 900_000, None), 900_000);
+        assert_eq!(came(1_000_000, 1_000_000, Some(700_000)), 700_000, "the beat came first");
     }
 
     #[test]
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -88,6 +88,8 @@
     breaches: Vec<Breach>,
     cold: f64,
     crashed: bool,
+    /// Times that the broker read of a client after it had said that the connection ends.
+    read_too_late: usize,
 }
 
 fn unix_ms() -> u64 {
@@ -240,13 +242,15 @@
         breaches: audit.breaches(late.worst()),
         cold: audit.worst_cold_window(&cold),
         crashed,
+        read_too_late: log.matches("shim: read after shutdown").count(),
     };
     let stalls = log.lines().filter(|l| l.contains("stalled")).count();
     println!(
-        "seed {seed}: {scenario:?}: {:?}, {} breaches, cold {:.2}, {stalls} stalls, own lateness {:.3} s",
+        "seed {seed}: {scenario:?}: {:?}, {} breaches, cold {:.2}, {stalls} stalls, {} read too late, own lateness {:.3} s",
         seen.counts,
         seen.breaches.len(),
         seen.cold,
+        seen.read_too_late,
         late.worst()
     );
     for breach in &seen.breaches {
@@ -274,7 +278,10 @@
         let plays: Vec<_> = some.iter().map(|seed| runtime.spawn(play(Scenario::draw(*seed)))).collect();
         for (seed, play) in some.iter().zip(plays) {
             let seen = runtime.block_on(play).expect("a run");
-            let holds = seen.breaches.is_empty() && !seen.crashed && seen.cold <= COLD_BOUND;
+            let holds = seen.breaches.is_empty()
+                && !seen.crashed
+                && seen.read_too_late == 0
+                && seen.cold <= COLD_BOUND;
             if !holds || seen.counts.served == 0 {
                 bad.push(*seed);
             }
