--- a/crates/lab/src/fleet/servers.rs
+++ b/crates/lab/src/fleet/servers.rs
@@ -71,6 +71,13 @@
     /// All servers; the shard of a server is its place.
     pub all: Vec<Arc<Server>>,
     shared: Arc<Shared>,
+    accepting: Vec<tokio::task::AbortHandle>,
+}
+
+impl Drop for Servers {
+    fn drop(&mut self) {
+        self.accepting.iter().for_each(|task| task.abort());
+    }
 }
 
 impl Servers {
@@ -85,16 +92,16 @@
             most_open: AtomicUsize::new(0),
             made: AtomicU64::new(0),
         });
-        let mut all = Vec::with_capacity(count);
+        let (mut all, mut accepting) = (Vec::with_capacity(count), Vec::with_capacity(count));
         for place in 0..count {
             let host = format!("127.40.{}.{}:0", place / 250, 1 + place % 250);
             let listener = TcpListener::bind(&host).await?;
             let address = listener.local_addr()?.to_string();
             let server = Arc::new(Server { address, silent: AtomicBool::new(false) });
             all.push(server.clone());
-            tokio::spawn(accept(listener, place, server, shared.clone()));
+            accepting.push(tokio::spawn(accept(listener, place, server, shared.clone())).abort_handle());
         }
-        Ok(Servers { all, shared })
+        Ok(Servers { all, shared, accepting })
     }
 
     /// How servers behave from now on.
--- a/src/run/front.rs
+++ b/src/run/front.rs
@@ -1,12 +1,15 @@
 //! A front: listens, gives each client a seat and a session, and sweeps their deadlines.
 
 use super::error::{io, StartError};
+use crate::interface::Time;
 use crate::state::phase::Phase;
 use crate::state::planner::{Input, Wire};
 use crate::state::seats::Seats;
 use crate::wire::clock::{Clock, Pulse};
 use crate::wire::session::{serve, Session};
 use std::cell::Cell;
+use std::io::ErrorKind;
+use std::os::fd::AsFd;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -85,39 +88,84 @@
     async fn take_last<S: Session<W>>(&self, session: &impl Fn() -> S) {
         // What is there is seen only after a look at the sockets.
         tokio::time::sleep(FULL_HOUSE).await;
+        let arrived = self.pulse.came();
+        // The system itself is asked: what the runtime knows of the listener may be old.
+        let Ok(listener) = self.listener.as_fd().try_clone_to_owned().map(std::net::TcpListener::from) else {
+            return;
+        };
         for _ in 0..BACKLOG {
-            tokio::select! {
-                biased;
-                Ok((stream, _)) = self.listener.accept() => self.serve(stream, session),
-                () = std::future::ready(()) => return,
+            let accepted = listener.accept().and_then(|(stream, _)| {
+                stream.set_nonblocking(true)?;
+                TcpStream::from_std(stream)
+            });
+            match accepted {
+                Ok(stream) => self.serve(stream, session, arrived),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+                // Descriptors may have run out, or one connection was aborted: the others are still there.
+                Err(error) => {
+                    tracing::warn!(%error, "cannot accept");
+                    self.make_room().await;
+                }
             }
         }
     }
 
-    fn serve<S: Session<W>>(&self, stream: TcpStream, session: &impl Fn() -> S) {
+    /// The next connection if there is one by now.
+    async fn accepted_now(&self) -> Option<std::io::Result<TcpStream>> {
+        tokio::select! {
+            biased;
+            accepted = self.listener.accept() => Some(accepted.map(|(stream, _)| stream)),
+            () = std::future::ready(()) => None,
+        }
+    }
+
+    /// Asks those that can be spared to leave, and gives them a moment.
+    async fn make_room(&self) {
+        while self.seats.call_spare(self.pulse.now()) {}
+        tokio::time::sleep(FULL_HOUSE).await;
+    }
+
+    /// Serves a connection that came at `arrived` at the earliest.
+    fn serve<S: Session<W>>(&self, stream: TcpStream, session: &impl Fn() -> S, arrived: Time) {
         let (planner, phase) = (self.planner.clone(), self.phase.clone());
         let seat = self.seats.take();
-        tokio::task::spawn_local(serve(stream, session(), planner, self.pulse.clone(), phase, seat));
+        tokio::task::spawn_local(serve(
+            stream,
+            session(),
+            planner,
+            self.pulse.clone(),
+            phase,
+            (seat, arrived),
+        ));
     }
 
     /// Takes connections for good. What the kernel has accepted is owed an answer, so a full house asks those
     /// connections that can be spared to leave, rather than let new ones wait.
     async fn take<S: Session<W>>(&self, session: &impl Fn() -> S) {
         let mut said = None;
+        // Since when connections may have been waiting to be accepted.
+        let mut waiting_since = None;
         loop {
             while self.seats.len() >= self.most.get() {
-                while self.seats.call_spare(self.pulse.now()) {}
-                tokio::time::sleep(FULL_HOUSE).await;
+                waiting_since = waiting_since.or(Some(self.pulse.came()));
+                self.make_room().await;
             }
-            match self.listener.accept().await {
-                Ok((stream, _)) => self.serve(stream, session),
+            let accepted = match self.accepted_now().await {
+                Some(accepted) => accepted,
+                None => {
+                    waiting_since = None;
+                    self.listener.accept().await.map(|(stream, _)| stream)
+                }
+            };
+            let arrived = *waiting_since.get_or_insert(self.pulse.came());
+            match accepted {
+                Ok(stream) => self.serve(stream, session, arrived),
                 Err(error) => {
                     if said.is_none_or(|at: Instant| at.elapsed() > SAID_AGAIN) {
                         said = Some(Instant::now());
                         tracing::warn!(%error, clients = self.seats.len(), "cannot accept");
                     }
-                    while self.seats.call_spare(self.pulse.now()) {}
-                    tokio::time::sleep(FULL_HOUSE).await;
+                    self.make_room().await;
                 }
             }
         }
--- a/src/wire/session.rs
+++ b/src/wire/session.rs
@@ -11,6 +11,7 @@
 use crate::wire::clock::Pulse;
 use crate::wire::socket::{is_short_of_memory, passes, unread, Unread, REST};
 use bytes::BytesMut;
+use std::cell::Cell;
 use std::time::Duration;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
@@ -160,14 +161,14 @@
 }
 
 /// Carries one client connection until either side is done with it, or until the broker's phase wants it closed
-/// between requests.
+/// between requests. It came at `arrived` at the earliest; what lies on it already may have come then.
 pub async fn serve<W: Wire, S: Session<W>>(
     stream: TcpStream,
     mut session: S,
     planner: UnboundedSender<Input<W>>,
     pulse: Pulse,
     mut phase: watch::Receiver<Phase>,
-    seat: Seat,
+    (seat, arrived): (Seat, Time),
 ) {
     let (back, mut answers) = unbounded_channel();
     let mut read = BytesMut::new();
@@ -176,7 +177,8 @@
     let mut untaken = false;
     // Why the broker itself ends it under what it owes.
     let mut reason = None;
-    let ways = Ways { planner, back, pulse };
+    let arrived = (unread(&stream) == Unread::Bytes).then_some(arrived);
+    let ways = Ways { planner, back, pulse, arrived: Cell::new(arrived) };
     let _ = stream.set_nodelay(true);
     loop {
         session.fill();
@@ -332,13 +334,16 @@
     planner: UnboundedSender<Input<W>>,
     back: Back<W::Reply>,
     pulse: Pulse,
+    /// When what is read first may have come, if it lay there when the connection was accepted.
+    arrived: Cell<Option<Time>>,
 }
 
 impl<W: Wire> Ways<W> {
     /// Has the session take what was read, and hands over what it asks for.
     fn take<S: Session<W>>(&self, session: &mut S, pace: &mut Pace, read: &mut BytesMut) {
         let (before, mut asks) = (read.len(), Vec::new());
-        session.receive(self.pulse.came(), read, &mut asks);
+        let came = self.pulse.came();
+        session.receive(self.arrived.take().map_or(came, |arrived| arrived.min(came)), read, &mut asks);
         pace.read(self.pulse.now(), before, read.len());
         if read.is_empty() {
             // A client that is idle must not pin the buffer of its last command.
