Keep the deciding files within their line width

make decisions failed on doc comments of the new modules; they are wrapped anew. Nothing else changes.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -92,7 +92,8 @@
 pub struct Settings {
     /// Number of hosts that run a scheduler, this one included.
     pub hosts: u32,
-    /// This host's own number among them, from 0. All that divide something by turns must have different ones.
+    /// This host's own number among them, from 0. All that divide something by turns must have different
+    /// ones.
     pub number: u32,
     /// The classes; requests name them by place.
     pub classes: Vec<Class>,
@@ -128,7 +129,8 @@
     pub cold_time: Time,
     /// Time over which too much work makes a cold node fall over.
     pub fall_time: Time,
-    /// How long an idle connection to a node is kept, in microseconds; 0 where there are none or that is not known.
+    /// How long an idle connection to a node is kept, in microseconds; 0 where there are none or that is
+    /// not known.
     pub link_idle: Time,
     /// Rest of an ordered key after an attempt that may still be running.
     pub key_rest: Time,
@@ -179,7 +181,8 @@
     pub state: NodeState,
     /// When it last started, if that was not long ago.
     pub started: Option<Time>,
-    /// Its registered size in thousandths of a unit of no meaning, to compare with others; 0 where none is told.
+    /// Its registered size in thousandths of a unit of no meaning, to compare with others; 0 where none is
+    /// told.
     pub size: u32,
 }
 
@@ -282,15 +285,16 @@
     Timer,
     /// A probe ended: the node, how, and how busy it said its cores were.
     Probed(NodeId, Ending, Option<f64>),
-    /// The time and state of a request whose body is sent on while it comes: when its client gives up as far as is
-    /// known now, and whether some of the body is gone, so that no further attempt can have it.
+    /// The time and state of a request whose body is sent on while it comes: when its client gives up as
+    /// far as is known now, and whether some of the body is gone, so that no further attempt can have it.
     Body(RequestId, Time, bool),
-    /// The part of this host's part of all limits that this process may spend from now on, from 0 to 1. Less than 1
-    /// while two processes are one host.
+    /// The part of this host's part of all limits that this process may spend from now on, from 0 to 1.
+    /// Less than 1 while two processes are one host.
     Part(f64),
     /// How late this host runs, in microseconds: how long what is due has waited to be looked at.
     Late(Time),
-    /// Whether nothing may be sent to any node until further notice: what is known of the nodes may be out of date.
+    /// Whether nothing may be sent to any node until further notice: what is known of the nodes may be out
+    /// of date.
     Suspended(bool),
     /// New settings, from now on. A class that requests are open under stands in its place, unchanged.
     Settings(Box<Settings>),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -65,8 +65,8 @@
 const SEND_AGAIN: Time = 10_000;
 /// How soon a turn follows one that left something over to send.
 const NEXT_TURN: Time = 500;
-/// What a new connection costs a node and the first request on it, in units of work: a node that this host has an
-/// idle connection to is the better one of two that are equally free.
+/// What a new connection costs a node and the first request on it, in units of work: a node that this host
+/// has an idle connection to is the better one of two that are equally free.
 const CONNECT_UNITS: f64 = 1.0;
 /// Safety margin on stores of limits and cold units, against rounding.
 const MARGIN: f64 = 0.01;
@@ -208,8 +208,8 @@
         self.shed
     }
 
-    /// What was looked at since the start: nodes, places of the ring, entries of the agenda and heads of queues. It
-    /// grows with what happens, not with the fleet, and is the same on any machine.
+    /// What was looked at since the start: nodes, places of the ring, entries of the agenda and heads of
+    /// queues. It grows with what happens, not with the fleet, and is the same on any machine.
     pub fn work(&self) -> u64 {
         self.fleet.looks() + self.looks
     }
@@ -531,8 +531,8 @@
         Some((self.queues.get(&shard)?.first()?, shard))
     }
 
-    /// The heads that this turn looks at: all where they are few; else those that something has happened to, and the
-    /// next of a round over all.
+    /// The heads that this turn looks at: all where they are few; else those that something has happened
+    /// to, and the next of a round over all.
     fn round(&mut self) -> BTreeSet<Head> {
         let touched = std::mem::take(&mut self.touched);
         let begin = self.resume.take();
--- a/src/rules/fleet.rs
+++ b/src/rules/fleet.rs
@@ -1,5 +1,6 @@
-//! The nodes that a scheduler knows, with an index for each question that it asks of all of them. Whatever is asked
-//! for one event looks at as many nodes as a key's group has, however many there are; [`Fleet::looks`] counts that.
+//! The nodes that a scheduler knows, with an index for each question that it asks of all of them. Whatever
+//! is asked for one event looks at as many nodes as a key's group has, however many there are;
+//! [`Fleet::looks`] counts that.
 
 use super::node::Node;
 use crate::interface::{NodeEntry, NodeId, NodeState, ShardId, Time};
@@ -9,8 +10,8 @@
 /// Nodes that the key of a new object picks by consistent hashing: twice the paper's negotiating group, since
 /// a host knows some of its members' queues only from the mean.
 pub(super) const GROUP: usize = 18;
-/// Places of each node on the ring. A node stands in so many groups as the arcs before its places are long; with
-/// 18 arcs each before 16 places that differs by about 6% among nodes.
+/// Places of each node on the ring. A node stands in so many groups as the arcs before its places are long;
+/// with 18 arcs each before 16 places that differs by about 6% among nodes.
 const PLACES: u32 = 16;
 /// Most places of the ring that are looked at for one group.
 const MOST_PLACES: usize = GROUP * PLACES as usize;
@@ -75,8 +76,8 @@
         self.sizes.first_key_value().map_or(1, |(size, _)| *size)
     }
 
-    /// The nodes that a key may go to, in the order in which it prefers them: the same on all hosts, whatever order
-    /// their lists come in.
+    /// The nodes that a key may go to, in the order in which it prefers them: the same on all hosts,
+    /// whatever order their lists come in.
     pub(super) fn group(&self, key: &str) -> Vec<NodeId> {
         let mut group: Vec<NodeId> = match self.up.len() <= GROUP {
             true => self.up.iter().copied().collect(),
@@ -103,8 +104,8 @@
         found
     }
 
-    /// Takes what a list says of a node, and gives the node with the entry that it had before; a node that was not
-    /// known starts with `fresh`.
+    /// Takes what a list says of a node, and gives the node with the entry that it had before; a node that
+    /// was not known starts with `fresh`.
     pub(super) fn enter(
         &mut self,
         entry: NodeEntry,
--- a/src/rules/node.rs
+++ b/src/rules/node.rs
@@ -1,4 +1,5 @@
-//! A node's book at one host: what is out there, the time per unit that was learned of it, and how its attempts ended.
+//! A node's book at one host: what is out there, the time per unit that was learned of it, and how its
+//! attempts ended.
 
 use crate::interface::{Ending, NodeEntry, Outcome, RequestId, Time};
 use std::collections::{BTreeMap, VecDeque};
@@ -175,8 +176,8 @@
         }
     }
 
-    /// Whether this host probably has a connection to the node that another request can go on at once, where idle ones
-    /// are kept for so long.
+    /// Whether this host probably has a connection to the node that another request can go on at once,
+    /// where idle ones are kept for so long.
     pub(super) fn connected(&self, now: Time, link_idle: Time) -> bool {
         self.slots.is_empty() && self.last_end.is_some_and(|at| now - at < link_idle)
     }
--- a/src/rules/overload.rs
+++ b/src/rules/overload.rs
@@ -1,5 +1,5 @@
-//! Whether this host runs so late that new work should be refused while that is still harmless: what it takes beyond what
-//! it can answer in time gets no answer at all.
+//! Whether this host runs so late that new work should be refused while that is still harmless: what it
+//! takes beyond what it can answer in time gets no answer at all.
 
 use crate::interface::Time;
 
@@ -20,8 +20,8 @@
 }
 
 impl Overload {
-    /// Takes note that the host was so late at `now`. Between two notes it counts as late for as long as the later one
-    /// says, and as on time before that.
+    /// Takes note that the host was so late at `now`. Between two notes it counts as late for as long as
+    /// the later one says, and as on time before that.
     pub(super) fn note(&mut self, now: Time, late: Time) {
         let late = late.clamp(0, MOST);
         let since = (now - self.at).max(0);
--- a/src/rules/waiting.rs
+++ b/src/rules/waiting.rs
@@ -1,5 +1,5 @@
-//! Requests that wait for a shard, or for any node, in the order in which they are to go. How much stands before one of
-//! them is told without looking at each that does.
+//! Requests that wait for a shard, or for any node, in the order in which they are to go. How much stands
+//! before one of them is told without looking at each that does.
 
 use crate::interface::{RequestId, Time};
 use std::cmp::Reverse;
