--- a/crates/lab/src/slopes/data.rs
+++ b/crates/lab/src/slopes/data.rs
@@ -47,7 +47,6 @@
         cold_from: 0.15,
         cold_time: 15_000_000,
         fall_time: 1_500_000,
-        link_idle: 0,
         key_rest: 100_000,
         budget: Some(Budget { free: 3.0, share: 0.1, span: 5_000_000 }),
         ..Settings::default()
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -129,9 +129,6 @@
     pub cold_time: Time,
     /// Time over which too much work makes a cold node fall over.
     pub fall_time: Time,
-    /// How long an idle connection to a node is kept, in microseconds; 0 where there are none or that is
-    /// not known.
-    pub link_idle: Time,
     /// Rest of an ordered key after an attempt that may still be running.
     pub key_rest: Time,
     /// The budget of further attempts, where one is stated.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -65,9 +65,6 @@
 const SEND_AGAIN: Time = 10_000;
 /// How soon a turn follows one that left something over to send.
 const NEXT_TURN: Time = 500;
-/// What a new connection costs a node and the first request on it, in units of work: a node that this host
-/// has an idle connection to is the better one of two that are equally free.
-const CONNECT_UNITS: f64 = 1.0;
 /// Safety margin on stores of limits and cold units, against rounding.
 const MARGIN: f64 = 0.01;
 
@@ -562,9 +559,7 @@
             .filter_map(|node| self.fleet.get(*node))
             .filter(|n| !n.unwell && !self.kept.contains(&n.entry.shard) && self.room(now, n, request))
             .min_by_key(|n| {
-                let connect =
-                    if n.connected(now, self.set.link_idle) { 0.0 } else { CONNECT_UNITS * average };
-                let own = request.units * n.per_unit(now, average) + connect;
+                let own = request.units * n.per_unit(now, average);
                 (n.faulty(now), n.frees(now, average) + own as Time)
             })
             .map(|n| n.entry.node)
--- a/src/rules/node.rs
+++ b/src/rules/node.rs
@@ -89,8 +89,6 @@
     pub(super) free_at: Time,
     pub(super) pace: Pace,
     pub(super) last_answer: Time,
-    /// When an attempt last ended here.
-    pub(super) last_end: Option<Time>,
     /// When the list told of it last, or first missed it.
     pub(super) listed: Time,
     /// Faults as waits, attempts as depths.
@@ -134,7 +132,6 @@
     /// Drops what is left of an attempt's slot.
     pub(super) fn settle(&mut self, now: Time, id: (RequestId, u32)) -> Option<Slot> {
         let slot = self.slots.remove(&id)?;
-        self.last_end = Some(now);
         self.units_out = if self.slots.is_empty() { 0.0 } else { self.units_out - slot.units };
         self.free_at = match self.slots.values().map(|s| s.end).max() {
             None => now,
@@ -176,12 +173,6 @@
         }
     }
 
-    /// Whether this host probably has a connection to the node that another request can go on at once,
-    /// where idle ones are kept for so long.
-    pub(super) fn connected(&self, now: Time, link_idle: Time) -> bool {
-        self.slots.is_empty() && self.last_end.is_some_and(|at| now - at < link_idle)
-    }
-
     /// Whether too many attempts at the node have lately come to nothing, though they may have run.
     pub(super) fn faulty(&self, now: Time) -> bool {
         let (faults, ended) = self.faults.faded(now);
--- a/src/run/catalogue.rs
+++ b/src/run/catalogue.rs
@@ -324,7 +324,6 @@
             cold_from: self.cold.from,
             cold_time: micros(self.cold.warm_ms),
             fall_time: micros(self.cold.window_ms),
-            link_idle: 0,
             key_rest: 0,
             budget: None,
         }
--- a/src/run/settings.rs
+++ b/src/run/settings.rs
@@ -300,10 +300,6 @@
             cold_from: rules.numbered("start_capacity")?,
             cold_time: rules.time("cold_s")?,
             fall_time: rules.time("tip_after_s")?,
-            link_idle: match bounds.find("conn_idle_s") {
-                Some(_) => connections(&bounds)?.links().idle,
-                None => 0,
-            },
             key_rest: micros(rules.number_or_0("key_quiet_s")?),
             budget,
         },
--- a/tests/allocations.rs
+++ b/tests/allocations.rs
@@ -52,7 +52,6 @@
         cold_from: 0.15,
         cold_time: 18_000_000,
         fall_time: 1_500_000,
-        link_idle: 0,
         key_rest: 0,
         budget: None,
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -44,7 +44,6 @@
         cold_from: 0.2,
         cold_time: 10_000_000,
         fall_time: 2_000_000,
-        link_idle: 0,
         key_rest: 100_000,
         budget: Some(Budget { free: 3.0, share: 0.1, span: 5_000_000 }),
     }
