Count dropped handshakes in the soak, and judge connections that a living broker refuses

Need: a request that waited in a broker could not be told from one whose handshake the kernel had dropped, and the soak excused both. A broker before which idle connections take all places was excused from everything for the whole run, and so was one on an inherited socket while it restarts, though nobody may be refused a connection there.

A connection that does not come up is excused only where the broker has no listening socket; a crowd excuses no more than connections that are closed unread.

--- a/crates/lab/src/fleet/audit.rs
+++ b/crates/lab/src/fleet/audit.rs
@@ -2,7 +2,7 @@
 
 use super::trace::Trace;
 use super::RunClock;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Mutex;
 
 /// An attempt as a server saw it.
@@ -111,6 +111,10 @@
     crossings: Mutex<Vec<Crossing>>,
     /// When brokers take no connections, and why that is allowed: their listeners are closed, or they are restarted.
     closed: Mutex<BTreeMap<usize, Vec<(f64, f64)>>>,
+    /// Brokers whose listening sockets outlive their processes: no connection to them is ever refused.
+    lasting_listeners: Mutex<BTreeSet<usize>>,
+    /// Brokers before which idle connections take all places: what is not read may be closed there.
+    crowded: Mutex<BTreeSet<usize>>,
     /// When brokers were killed outright, under whatever they owed.
     killed: Mutex<BTreeMap<usize, Vec<f64>>>,
 }
@@ -163,6 +167,16 @@
         self.closed.lock().expect("closed listeners").entry(broker).or_default().push((from, to));
     }
 
+    /// A broker's listening socket outlives its processes.
+    pub fn listens_for_good(&self, broker: usize) {
+        self.lasting_listeners.lock().expect("lasting listeners").insert(broker);
+    }
+
+    /// Idle connections take all places of a broker.
+    pub fn crowded(&self, broker: usize) {
+        self.crowded.lock().expect("crowds").insert(broker);
+    }
+
     /// A broker was killed outright: what it owed then is not its fault.
     pub fn killed(&self, broker: usize, at: f64) {
         self.killed.lock().expect("kills").entry(broker).or_default().push(at);
@@ -202,7 +216,20 @@
         killed.get(&broker).is_some_and(|at| at.iter().any(under))
     }
 
+    /// Whether no connection may come up: its broker has no listening socket at that time.
     fn may_refuse(&self, record: &Record, slack: f64) -> bool {
+        let lasting = self.lasting_listeners.lock().expect("lasting listeners").contains(&record.broker);
+        !lasting && self.takes_none_during(record, slack)
+    }
+
+    /// Whether a connection may come up and be left unread: nobody accepts, or idle ones take all places.
+    fn may_leave_unread(&self, record: &Record, slack: f64) -> bool {
+        let crowded = self.crowded.lock().expect("crowds").contains(&record.broker);
+        let shut = matches!(record.fate, Fate::Closed { .. });
+        (crowded && shut) || self.takes_none_during(record, slack)
+    }
+
+    fn takes_none_during(&self, record: &Record, slack: f64) -> bool {
         let closed = self.closed.lock().expect("closed listeners");
         let within = |(from, to): &(f64, f64)| record.ended >= *from - slack && record.sent <= *to + slack;
         closed.get(&record.broker).is_some_and(|times| times.iter().any(within))
@@ -260,9 +287,10 @@
                 Fate::Closed { .. } | Fate::Silent | Fate::NoConnection if killed => {}
                 Fate::Silent if record.slow => {}
                 // What was read all the same is found by `read_and_closed`.
-                Fate::NoConnection | Fate::Closed { new: true } | Fate::Silent
-                    if tried.is_empty() && self.may_refuse(record, slack) => {}
-                Fate::NoConnection => breach(record.ended, "no connection"),
+                Fate::NoConnection if self.may_refuse(record, slack) => {}
+                Fate::Closed { new: true } | Fate::Silent
+                    if tried.is_empty() && self.may_leave_unread(record, slack) => {}
+                Fate::NoConnection => breach(record.ended, "no connection to a broker that listens"),
                 Fate::Wrong(_) => breach(record.ended, "answer of another request"),
                 Fate::Silent => breach(record.ended, "no answer in its time"),
                 Fate::Closed { new: true } => {
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 pub mod audit;
 pub mod clients;
 pub mod discovery;
+pub mod kernel;
 pub mod process;
 pub mod proxy;
 pub mod servers;
--- a/tests/soak_brokers.rs
+++ b/tests/soak_brokers.rs
@@ -9,6 +9,7 @@
 use claywinch_lab::fleet::audit::{Audit, Breach, ColdTerms, Counts};
 use claywinch_lab::fleet::clients::{Clients, Traffic};
 use claywinch_lab::fleet::discovery::{Discovery, Manner, Member};
+use claywinch_lab::fleet::kernel::TcpCounters;
 use claywinch_lab::fleet::process::{Launch, Process};
 use claywinch_lab::fleet::servers::{Behaviour, Servers};
 use claywinch_lab::fleet::{proxy, Draw, Lateness, RunClock};
@@ -451,6 +452,7 @@
 async fn play(seed: u64) -> Seen {
     let mut draw = Draw::new(seed);
     let (clock, audit) = (RunClock::start(), Arc::new(Audit::default()));
+    let tcp_before = TcpCounters::now();
     let waits = [0.5, 1.0, 3.0][draw.below(3)];
     let servers = Servers::start(SERVERS, seed, clock, audit.clone()).await.expect("servers");
     servers.behave(Behaviour {
@@ -531,6 +533,9 @@
             None => process.listen.clone(),
         };
         let number = plan.number;
+        if plan.inherits {
+            audit.listens_for_good(number);
+        }
         let clients = Clients::new(address, clock, audit.clone(), (number, number as u64), outcomes);
         let traffic = Traffic {
             rate: 12.0 + draw.unit() * 12.0,
@@ -547,7 +552,7 @@
         let kill = told + waits.max(0.5) + AFTER_DEADLINE;
         others.spawn(async move { clients.play(traffic, seed, begin, kill).await });
         if plan.crowd {
-            audit.takes_none(number, begin, f64::MAX);
+            audit.crowded(number);
             let crowd = tokio::time::timeout(Duration::from_secs_f64(LENGTH), crowd(process.listen.clone()));
             crowds.spawn(async move { drop(crowd.await) });
         }
@@ -578,9 +583,10 @@
     breaches.extend(audit.breaches(late.worst()));
     let (counts, cold) = (audit.counts(), audit.worst_cold_window(&COLD));
     println!(
-        "seed {seed}: waits {waits}, {processes} processes, {counts:?}, {} breaches, cold {cold:.2}, {outlived} outlived their kills, {} crossings, own lateness {:.3} s",
+        "seed {seed}: waits {waits}, {processes} processes, {counts:?}, {} breaches, cold {cold:.2}, {outlived} outlived their kills, {} crossings, {}, own lateness {:.3} s",
         breaches.len(),
         audit.crossings(),
+        TcpCounters::now().since(&tcp_before),
         late.worst()
     );
     let mut kinds: BTreeMap<&str, usize> = BTreeMap::new();
