Listen again on an inherited socket, so that its accept queue is not somebody else's

What callers saw: nodes told up to 1.1 s too much, requests without an answer, connections that did not come up within a second, all at brokers on an inherited socket before a crowd.

Cause: the accept queue of a passed socket is as long as whoever made it chose (128 where the standard library made it); `listen` asked for 1,024 only where the broker made the socket itself. A full queue drops handshakes.

Change: whatever the broker listens on asks for as much as the system allows (net.core.somaxconn); a passed socket is listened on again. One that its supervisor has not listened on yet works, too. What is taken when a listener closes has no count of its own any more. Moved to run/listen.rs.

--- a/src/run/front.rs
+++ b/src/run/front.rs
@@ -1,6 +1,5 @@
-//! A front: listens, gives each client a seat and a session, and sweeps their deadlines.
+//! A front: accepts connections, gives each client a seat and a session, and sweeps their deadlines.
 
-use super::error::{io, StartError};
 use crate::interface::Time;
 use crate::state::phase::Phase;
 use crate::state::planner::Wire;
@@ -12,51 +11,19 @@
 use std::os::fd::AsFd;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpStream};
 
-/// Connections that the kernel may hold for us: what it has accepted is ours to answer.
-const BACKLOG: u32 = 1024;
+/// Connections that are taken in one turn when the listener is about to close.
+const TURN: usize = 128;
 /// How long to wait when descriptors or seats have run out.
 const FULL_HOUSE: Duration = Duration::from_millis(2);
 /// Connections that may have waited for longer than this to be taken, in microseconds, make the silent ones leave earlier.
 const LONG_WAIT: Time = 100_000;
-/// How long an address that another process holds is waited for: longer than one may take to end.
-const ADDRESS_TAKEN: Duration = Duration::from_secs(4);
-/// How often it is asked for.
-const ADDRESS_AGAIN: Duration = Duration::from_millis(20);
 /// How often the log says that connections cannot be taken.
 const SAID_AGAIN: Duration = Duration::from_secs(1);
 /// How often the deadlines of clients are swept.
 const SWEEP: Duration = Duration::from_millis(20);
 
-/// Listens on an address.
-pub fn listen(address: &str) -> Result<TcpListener, StartError> {
-    let bind = || -> std::io::Result<TcpListener> {
-        let address: std::net::SocketAddr = address.parse().map_err(std::io::Error::other)?;
-        let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-        socket.set_reuseaddr(true)?;
-        socket.bind(address)?;
-        socket.listen(BACKLOG)
-    };
-    bind().map_err(io(format!("listening on {address}")))
-}
-
-/// The same where the process before this one may still be about to end and to let go of the address.
-pub async fn listen_soon(address: &str) -> Result<TcpListener, StartError> {
-    let until = Instant::now() + ADDRESS_TAKEN;
-    loop {
-        match listen(address) {
-            Err(StartError::Io { what, error })
-                if error.kind() == ErrorKind::AddrInUse && Instant::now() < until =>
-            {
-                tracing::warn!(what, %error, "tried again");
-                tokio::time::sleep(ADDRESS_AGAIN).await;
-            }
-            listener => return listener,
-        }
-    }
-}
-
 /// A front: where clients of one protocol connect.
 pub struct Front<W: Wire> {
     /// Where they connect.
@@ -109,7 +76,10 @@
         let Ok(listener) = self.listener.as_fd().try_clone_to_owned().map(std::net::TcpListener::from) else {
             return;
         };
-        for _ in 0..BACKLOG {
+        for taken in 1_usize.. {
+            if taken.is_multiple_of(TURN) {
+                tokio::task::yield_now().await;
+            }
             let accepted = listener.accept().and_then(|(stream, _)| {
                 stream.set_nonblocking(true)?;
                 TcpStream::from_std(stream)
--- a/src/run/mod.rs
+++ b/src/run/mod.rs
@@ -10,6 +10,7 @@
 pub mod front;
 pub mod handover;
 pub mod limits;
+pub mod listen;
 pub mod logging;
 pub mod nbd;
 pub mod passed;
--- a/src/run/peers.rs
+++ b/src/run/peers.rs
@@ -3,7 +3,7 @@
 use super::catalogue::Peer;
 use super::error::StartError;
 use super::folder::off_thread;
-use super::front::listen;
+use super::listen::listen;
 use crate::state::agreement::{Agreement, AgreementError};
 use crate::wire::raft::{decode, encode};
 use bytes::{Bytes, BytesMut};
--- a/src/run/start.rs
+++ b/src/run/start.rs
@@ -6,9 +6,10 @@
 use super::error::{io, StartError};
 use super::fleet::Fleet;
 use super::folder;
-use super::front::{listen_soon, sweep, Front};
+use super::front::{sweep, Front};
 use super::handover::Keeper;
 use super::limits::Limits;
+use super::listen::{adopt, listen_soon};
 use super::nbd;
 use super::reload::{longest, Reloading};
 use super::stop::Ending;
@@ -40,7 +41,6 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::sync::watch;
@@ -190,7 +190,7 @@
     let lock = file.as_deref().and_then(|path| folder::live(path, id));
     let front = Front {
         listener: match passed {
-            Some(passed) => TcpListener::from_std(passed).map_err(io("the inherited socket"))?,
+            Some(passed) => adopt(passed)?,
             None => listen_soon(&config.listen).await?,
         },
         site: Site {
