Ask the kernel how long a request has waited where no process accepted

What callers saw: a node told as much as 1 s more than its client had left, without a dropped handshake.

Cause: what lies on a socket counts from when this process stopped accepting. It cannot know that where nobody accepted: before it began on an inherited socket, and when it takes connections back from a process that is gone. Both counted from the accept.

Evidence: two tests force each apart from dropped handshakes (one client, an empty queue, no overflow).

Where the system does not answer, the beginning of this process counts, as before. TCP_INFO itself needs unsafe code, which the broker has none of. The last connections at a close count from when the queue was full, too, not from the close.

Why it works: the kernel counts by its own monotonic time and from the last segment that came, which is what a request's time counts from.

--- a/src/run/front.rs
+++ b/src/run/front.rs
@@ -1,12 +1,15 @@
 //! A front: accepts connections, gives each client a seat and a session, and sweeps their deadlines.
 
+use super::socket_age::SocketAges;
 use crate::interface::Time;
+use crate::state::accept_queue::AcceptQueue;
 use crate::state::phase::Phase;
 use crate::state::planner::Wire;
-use crate::state::seats::{Press, Seats};
+use crate::state::seats::Seats;
 use crate::wire::clock::Clock;
 use crate::wire::session::{serve, Session, Site};
-use std::cell::Cell;
+use crate::wire::socket::{unread, Unread};
+use std::cell::{Cell, RefCell};
 use std::io::ErrorKind;
 use std::os::fd::AsFd;
 use std::rc::Rc;
@@ -17,8 +20,6 @@
 const TURN: usize = 128;
 /// How long to wait when descriptors or seats have run out.
 const FULL_HOUSE: Duration = Duration::from_millis(2);
-/// Connections that may have waited for longer than this to be taken, in microseconds, make the silent ones leave earlier.
-const LONG_WAIT: Time = 100_000;
 /// How often the log says that connections cannot be taken.
 const SAID_AGAIN: Duration = Duration::from_secs(1);
 /// How often the deadlines of clients are swept.
@@ -34,6 +35,10 @@
     pub seats: Seats,
     /// How many there may be.
     pub most: Rc<Cell<usize>>,
+    /// How long connections have waited to be accepted.
+    pub queue: Cell<AcceptQueue>,
+    /// What the system tells of that where this process cannot know.
+    pub ages: RefCell<SocketAges>,
 }
 
 /// Sweeps the deadlines of a front's clients for good.
@@ -56,7 +61,10 @@
             }
             // Another process that took them in its place may be gone.
             let last = match phase.wait_for(|phase| phase.accepts() || phase.stops()).await {
-                Ok(phase) if phase.accepts() => continue,
+                Ok(phase) if phase.accepts() => {
+                    self.note(|queue, now| queue.taken_back(now));
+                    continue;
+                }
                 Ok(phase) => matches!(*phase, Phase::Closing(..)),
                 Err(_) => return,
             };
@@ -71,7 +79,7 @@
     async fn take_last<S: Session<W>>(&self, session: &impl Fn() -> S) {
         // What is there is seen only after a look at the sockets.
         tokio::time::sleep(FULL_HOUSE).await;
-        let arrived = self.site.pulse.came();
+        self.note(AcceptQueue::waits);
         // The system itself is asked: what the runtime knows of the listener may be old.
         let Ok(listener) = self.listener.as_fd().try_clone_to_owned().map(std::net::TcpListener::from) else {
             return;
@@ -85,12 +93,12 @@
                 TcpStream::from_std(stream)
             });
             match accepted {
-                Ok(stream) => self.serve(stream, session, arrived),
+                Ok(stream) => self.serve(stream, session),
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return,
                 // Descriptors may have run out, or one connection was aborted: the others are still there.
                 Err(error) => {
                     tracing::warn!(%error, "cannot accept");
-                    self.make_room(None).await;
+                    self.make_room().await;
                 }
             }
         }
@@ -105,20 +113,35 @@
         }
     }
 
+    /// Takes note of what is known of the accept queue from now on.
+    fn note(&self, what: impl FnOnce(&mut AcceptQueue, Time)) {
+        let mut queue = self.queue.get();
+        what(&mut queue, self.site.pulse.came());
+        self.queue.set(queue);
+    }
+
     /// Asks those that can be spared to leave, and gives them a moment.
-    async fn make_room(&self, waiting_since: Option<Time>) {
+    async fn make_room(&self) {
         let now = self.site.pulse.now();
-        let press = match waiting_since.is_some_and(|since| now - since > LONG_WAIT) {
-            true => Press::High,
-            false => Press::Usual,
-        };
+        let press = self.queue.get().press(now);
         while self.seats.call_spare(now, press) {}
         tokio::time::sleep(FULL_HOUSE).await;
     }
 
-    /// Serves a connection that came at `arrived` at the earliest.
-    fn serve<S: Session<W>>(&self, stream: TcpStream, session: &impl Fn() -> S, arrived: Time) {
+    /// The earliest moment at which what lies on a connection may have come that is accepted now.
+    fn arrival(&self, stream: &TcpStream) -> Time {
+        let queue = self.queue.get();
+        let known = queue.arrived(self.site.pulse.came());
+        if !queue.is_unattended() || unread(stream) != Unread::Bytes {
+            return known;
+        }
+        let age = self.ages.borrow_mut().since_data(stream);
+        age.map_or(known, |age| self.site.pulse.now() - age.as_micros() as Time)
+    }
+
+    fn serve<S: Session<W>>(&self, stream: TcpStream, session: &impl Fn() -> S) {
         let seat = self.seats.take();
+        let arrived = self.arrival(&stream);
         tokio::task::spawn_local(serve(stream, session(), self.site.clone(), (seat, arrived)));
     }
 
@@ -126,29 +149,31 @@
     /// connections that can be spared to leave, rather than let new ones wait.
     async fn take<S: Session<W>>(&self, session: &impl Fn() -> S) {
         let mut said = None;
-        // Since when connections may have been waiting to be accepted.
-        let mut waiting_since = None;
+        if self.queue.get().is_unattended() {
+            // What is there is seen only after a look at the sockets.
+            tokio::time::sleep(FULL_HOUSE).await;
+        }
         loop {
             while self.seats.len() >= self.most.get() {
-                waiting_since = waiting_since.or(Some(self.site.pulse.came()));
-                self.make_room(waiting_since).await;
+                self.note(AcceptQueue::waits);
+                self.make_room().await;
             }
             let accepted = match self.accepted_now().await {
                 Some(accepted) => accepted,
                 None => {
-                    waiting_since = None;
+                    self.note(|queue, _| queue.is_empty_now());
                     self.listener.accept().await.map(|(stream, _)| stream)
                 }
             };
-            let arrived = *waiting_since.get_or_insert(self.site.pulse.came());
+            self.note(AcceptQueue::waits);
             match accepted {
-                Ok(stream) => self.serve(stream, session, arrived),
+                Ok(stream) => self.serve(stream, session),
                 Err(error) => {
                     if said.is_none_or(|at: Instant| at.elapsed() > SAID_AGAIN) {
                         said = Some(Instant::now());
                         tracing::warn!(%error, clients = self.seats.len(), "cannot accept");
                     }
-                    self.make_room(waiting_since).await;
+                    self.make_room().await;
                 }
             }
         }
--- a/src/run/mod.rs
+++ b/src/run/mod.rs
@@ -17,6 +17,7 @@
 pub mod peers;
 pub mod reload;
 pub mod settings;
+pub mod socket_age;
 pub mod start;
 pub mod stop;
 pub mod tuning;
--- a/src/run/nbd.rs
+++ b/src/run/nbd.rs
@@ -10,6 +10,7 @@
 use super::peers::Peers;
 use super::settings::Bounds;
 use crate::interface::ListKind;
+use crate::state::accept_queue::AcceptQueue;
 use crate::state::agreement::Agreement;
 use crate::state::phase::Phase;
 use crate::state::planner::{Input, Planner};
@@ -25,7 +26,7 @@
 use crate::wire::nbd::Nbd;
 use crate::wire::session::{Numbers, Site};
 use bytes::Bytes;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::signal::unix::{signal, SignalKind};
@@ -139,6 +140,8 @@
         site: Site { planner: own.clone(), guard: request_guard, pulse: place.pulse, phase: place.phase },
         seats: seats.clone(),
         most: Rc::new(Cell::new(place.limits.clients)),
+        queue: Cell::new(AcceptQueue::of_own_socket()),
+        ages: RefCell::default(),
     };
     tokio::task::spawn_local(sweep(seats.clone(), place.clock));
     let accepting = tokio::task::spawn_local(front.accept(move || Client::new(exports.clone(), ids.clone())));
--- a/src/run/start.rs
+++ b/src/run/start.rs
@@ -15,6 +15,7 @@
 use super::stop::Ending;
 use super::tuning::Tuning;
 use crate::interface::{ListKind, Time};
+use crate::state::accept_queue::AcceptQueue;
 use crate::state::handover::Process;
 use crate::state::membership::mix;
 use crate::state::phase::{Move, Phase};
@@ -201,6 +202,11 @@
         },
         seats: seats.clone(),
         most: most.clone(),
+        queue: Cell::new(match inherited {
+            true => AcceptQueue::of_shared_socket(clock.now()),
+            false => AcceptQueue::of_own_socket(),
+        }),
+        ages: RefCell::default(),
     };
     let (keeper, wanted) = unbounded_channel();
     let (part, mut parts) = watch::channel(0.0);
--- /dev/null
+++ b/src/state/accept_queue.rs
@@ -0,0 +1,76 @@
+//! What a front knows of how long connections have waited to be accepted. What they have sent may have waited for as long, so
+//! their clients count from then. Time is handed in.
+
+use super::seats::Press;
+use crate::interface::Time;
+
+/// Connections that may have waited for longer than this to be accepted, in microseconds, make the silent ones leave earlier.
+const LONG_WAIT: Time = 100_000;
+
+/// Since when connections may be waiting.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Waiting {
+    /// None waits: the queue was seen empty, and whatever comes is accepted at once.
+    Nobody,
+    /// They may have come since then.
+    Since(Time),
+    /// Nobody may have accepted before then, for a time that this process does not know.
+    Unattended(Time),
+}
+
+/// The accept queue of a front.
+#[derive(Debug, Clone, Copy)]
+pub struct AcceptQueue(Waiting);
+
+impl AcceptQueue {
+    /// The queue of a socket that this process has made itself.
+    pub fn of_own_socket() -> Self {
+        AcceptQueue(Waiting::Nobody)
+    }
+
+    /// The queue of a socket on which others have accepted until now, or nobody has.
+    pub fn of_shared_socket(now: Time) -> Self {
+        AcceptQueue(Waiting::Unattended(now))
+    }
+
+    /// What comes from now on may have to wait.
+    pub fn waits(&mut self, now: Time) {
+        if self.0 == Waiting::Nobody {
+            self.0 = Waiting::Since(now);
+        }
+    }
+
+    /// This process accepts again after another one did so in its place.
+    pub fn taken_back(&mut self, now: Time) {
+        self.0 = Waiting::Unattended(now);
+    }
+
+    /// It was seen empty.
+    pub fn is_empty_now(&mut self) {
+        self.0 = Waiting::Nobody;
+    }
+
+    /// Whether only the system can tell how long connections have waited.
+    pub fn is_unattended(&self) -> bool {
+        matches!(self.0, Waiting::Unattended(_))
+    }
+
+    /// The earliest moment at which a connection that is accepted `now` may have come, as far as this process knows.
+    pub fn arrived(&self, now: Time) -> Time {
+        match self.0 {
+            Waiting::Nobody => now,
+            Waiting::Since(at) | Waiting::Unattended(at) => at.min(now),
+        }
+    }
+
+    /// How much the connections that wait press for places.
+    pub fn press(&self, now: Time) -> Press {
+        match now - self.arrived(now) > LONG_WAIT {
+            true => Press::High,
+            false => Press::Usual,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -1,6 +1,7 @@
 //! What is kept in memory: requests, attempts, the table of nodes, pools of links, deadlines.
 //! Nothing here knows what is spoken on a wire.
 
+pub mod accept_queue;
 pub mod agreement;
 pub mod deadlines;
 pub mod guard;
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -11,5 +11,6 @@
 pub mod raft;
 pub mod resp;
 pub mod session;
+pub mod sock_diag;
 pub mod socket;
 pub mod watch;
--- a/tests/accept_queue.rs
+++ b/tests/accept_queue.rs
@@ -4,6 +4,7 @@
 
 use claywinch_lab::fleet::process::{Launch, Process};
 use common::net::*;
+use std::io::Write;
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -17,6 +18,12 @@
 const RETRANSMISSION: Duration = Duration::from_secs(1);
 /// For how long the broker stands still.
 const STILL: Duration = Duration::from_millis(200);
+/// How long clients of single requests wait.
+const WAITS_MS: u64 = 3_000;
+/// How long a request lies in the kernel while nobody accepts.
+const UNATTENDED: Duration = Duration::from_secs(1);
+/// How much more than its client has left a node may be told.
+const TOLD_SLACK_MS: u64 = 150;
 /// How long the first byte of an answer may take, from the moment at which the broker goes on.
 const ANSWERED: Duration = Duration::from_secs(10);
 
@@ -152,3 +159,93 @@
     let broker = Broker::start("nbd-queue", &settings(), &at, Some(NBD));
     assert_none_was_dropped("NBD", &crowd_at(&broker.nbd, b"", |signal| broker.signal(signal)));
 }
+
+/// A broker on an inherited socket before one node, of which processes come and go.
+struct Inherited {
+    script: Shared,
+    _discovery: Discovery,
+    launch: Launch,
+}
+
+impl Inherited {
+    fn new(name: &str) -> Self {
+        let (script, node) = resp_node();
+        let (discovery, at) = Discovery::start(&format!(
+            r#"{{"id":"s-00000001","host_port":"{node}","locality":"a","cell":0,"phase":"ready","up_since_ms":0}}"#
+        ));
+        let launch = launch(name, Some(socket_with_queue(128)), &at);
+        Inherited { script, _discovery: discovery, launch }
+    }
+
+    /// A process that serves.
+    fn start(&self) -> Process {
+        let process = Process::start(&self.launch).expect("the broker starts");
+        until("it serves", || self.ask(&process).is_some_and(|answer| answer == "$5"));
+        process
+    }
+
+    fn send(&self, process: &Process) -> std::net::TcpStream {
+        static IDS: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(1);
+        let id = IDS.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let fields =
+            format!("c=read,t=standard,d={WAITS_MS},volume=00000003b4d60021,units=1,shard=0,hosts=1");
+        let command = format!(
+            "*4\r\n$7\r\nOBJ.GET\r\n$16\r\n7f3a9c21e0b4d655\r\n$16\r\n{id:016x}\r\n${}\r\n{fields}\r\n",
+            fields.len()
+        );
+        let mut stream = connect(&process.listen);
+        stream.write_all(command.as_bytes()).expect("asks");
+        stream
+    }
+
+    fn ask(&self, process: &Process) -> Option<String> {
+        line(&mut self.send(process)).ok()
+    }
+
+    /// How long the node was told last that its answer is waited for, in milliseconds.
+    fn told_ms(&self) -> u64 {
+        let script = self.script.lock().expect("the script");
+        let told = script.fields.split(',').find_map(|pair| pair.strip_prefix("d="));
+        told.and_then(|text| text.parse().ok()).expect("a number")
+    }
+
+    /// Takes the answer to a request that lay unattended, and looks at what its node was told.
+    fn assert_counts_from_when_it_came(&self, mut client: std::net::TcpStream) {
+        assert_eq!(line(&mut client).ok().as_deref(), Some("$5"));
+        let left = WAITS_MS - UNATTENDED.as_millis() as u64;
+        let told = self.told_ms();
+        assert!(told <= left + TOLD_SLACK_MS, "told {told} ms with {left} ms left at most");
+    }
+}
+
+/// Guards against a node that is told more than its client has left, since the request lay in the kernel before the process
+/// began.
+#[test]
+fn what_waited_for_a_process_to_begin_counts_from_when_it_came() {
+    let broker = Inherited::new("unattended");
+    let mut first = broker.start();
+    first.signal("-KILL");
+    first.wait();
+    let client = broker.send(&first);
+    std::thread::sleep(UNATTENDED);
+    let _second = Process::start(&broker.launch).expect("the broker starts");
+    broker.assert_counts_from_when_it_came(client);
+}
+
+/// Guards against the same where the process that takes connections is gone and the one before it takes them again.
+#[test]
+fn what_waited_for_the_process_before_counts_from_when_it_came() {
+    let broker = Inherited::new("taken-back");
+    let first = broker.start();
+    let mut second = Process::start(&broker.launch).expect("the broker starts");
+    // It leaves the socket to the second one.
+    until("the second one takes connections", || !first.log().is_empty() && broker.ask(&second).is_some());
+    std::thread::sleep(UNATTENDED);
+    first.signal("-STOP");
+    second.signal("-KILL");
+    second.wait();
+    let client = broker.send(&first);
+    std::thread::sleep(UNATTENDED);
+    first.signal("-CONT");
+    broker.assert_counts_from_when_it_came(client);
+}
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -276,6 +276,8 @@
     pub written: BTreeMap<u64, Vec<u8>>,
     /// When the last request came.
     pub last: Option<Instant>,
+    /// The names and values that the last request came with, over RESP2.
+    pub fields: String,
     /// The connections that were taken, for what a node says unasked.
     pub streams: Vec<TcpStream>,
 }
@@ -416,8 +418,9 @@
 fn serve_resp(stream: &mut TcpStream, script: &Shared) -> std::io::Result<()> {
     loop {
         let words: usize = line(stream)?[1..].parse().map_err(std::io::Error::other)?;
-        for _ in 0..words {
-            bulk(stream)?;
+        let words = (0..words).map(|_| bulk(stream)).collect::<std::io::Result<Vec<Vec<u8>>>>()?;
+        if let Some(fields) = words.get(3) {
+            script.lock().expect("the script").fields = String::from_utf8_lossy(fields).into_owned();
         }
         match manner(script) {
             Manner::Serve => stream.write_all(b"*3\r\n$5\r\nvalue\r\n$14\r\nused=37,cost=4\r\n$-1\r\n")?,
