Let silent connections leave sooner the longer others wait, on the operators' front, too

What callers saw: an operators' call behind 400 callers who say nothing had no answer within the second that it is owed. A request behind 800 silent connections while two processes share the places of one took 0.34 s of its 0.5 s once the accept queue was long enough to hold them.

Cause: silent connections left after 50 ms, 8 at a time, whatever waited behind them; the operators' front never took the wait into account.

Change: what waits for over 0.1 s makes silent ones leave after 10 ms, as before, and over 0.2 s after 2 ms, and these count no more against the 8 that may be on their way out, since they go in the turn in which they are asked. Both fronts use the accept queue's state for it.

Why it works: whatever a connection has to say that waited itself has come by then.

--- a/src/run/front.rs
+++ b/src/run/front.rs
@@ -8,7 +8,7 @@
 use crate::state::seats::Seats;
 use crate::wire::clock::Clock;
 use crate::wire::session::{serve, Session, Site};
-use crate::wire::socket::{unread, Unread};
+use crate::wire::socket::{accepted_now, unread, Unread};
 use std::cell::{Cell, RefCell};
 use std::io::ErrorKind;
 use std::os::fd::AsFd;
@@ -104,15 +104,6 @@
         }
     }
 
-    /// The next connection if there is one by now.
-    async fn accepted_now(&self) -> Option<std::io::Result<TcpStream>> {
-        tokio::select! {
-            biased;
-            accepted = self.listener.accept() => Some(accepted.map(|(stream, _)| stream)),
-            () = std::future::ready(()) => None,
-        }
-    }
-
     /// Takes note of what is known of the accept queue from now on.
     fn note(&self, what: impl FnOnce(&mut AcceptQueue, Time)) {
         let mut queue = self.queue.get();
@@ -158,7 +149,7 @@
                 self.note(AcceptQueue::waits);
                 self.make_room().await;
             }
-            let accepted = match self.accepted_now().await {
+            let accepted = match accepted_now(&self.listener).await {
                 Some(accepted) => accepted,
                 None => {
                     self.note(|queue, _| queue.is_empty_now());
--- a/src/state/accept_queue.rs
+++ b/src/state/accept_queue.rs
@@ -6,6 +6,8 @@
 
 /// Connections that may have waited for longer than this to be accepted, in microseconds, make the silent ones leave earlier.
 const LONG_WAIT: Time = 100_000;
+/// The same, at once.
+const TOO_LONG_WAIT: Time = 200_000;
 
 /// Since when connections may be waiting.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -65,9 +67,10 @@
 
     /// How much the connections that wait press for places.
     pub fn press(&self, now: Time) -> Press {
-        match now - self.arrived(now) > LONG_WAIT {
-            true => Press::High,
-            false => Press::Usual,
+        match now - self.arrived(now) {
+            ..=LONG_WAIT => Press::Usual,
+            ..=TOO_LONG_WAIT => Press::High,
+            _ => Press::Urgent,
         }
     }
 }
--- a/src/state/accept_queue/tests.rs
+++ b/src/state/accept_queue/tests.rs
@@ -12,6 +12,7 @@
     assert_eq!(queue.arrived(60_000), 1_000, "the first moment holds");
     assert_eq!(queue.press(1_000 + LONG_WAIT), Press::Usual);
     assert_eq!(queue.press(1_001 + LONG_WAIT), Press::High);
+    assert_eq!(queue.press(1_001 + TOO_LONG_WAIT), Press::Urgent);
     queue.is_empty_now();
     assert_eq!(queue.arrived(200_000), 200_000);
 }
--- a/src/state/seats.rs
+++ b/src/state/seats.rs
@@ -10,6 +10,8 @@
 /// Connections that may be on their way out at once: leaving takes a moment, and calling one after another
 /// meanwhile would empty the house for one newcomer.
 const MOST_LEAVING: usize = 8;
+/// The same of silent ones where many wait: these leave in the turn in which they are asked.
+const MOST_SILENT_LEAVING: usize = 256;
 
 /// Why a connection may be asked to leave where seats run out; in the order in which they are.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -27,8 +29,10 @@
 pub enum Press {
     /// They have only just come.
     Usual,
-    /// They have waited for so long that what they have sent may come too late.
+    /// They have waited for long.
     High,
+    /// They have waited for so long that what they have sent may come too late.
+    Urgent,
 }
 
 impl Spare {
@@ -38,11 +42,21 @@
     /// How long it must have been so, even in a full house: the first request of one that has just come may be
     /// on its way, some clients send in pieces, and a client that has its answer may go on.
     fn grace(self, press: Press) -> Time {
-        match self {
-            Spare::Silent if press == Press::High => 10_000,
-            Spare::Silent => 50_000,
-            Spare::Unfinished => 300_000,
-            Spare::Idle => 20_000,
+        match (self, press) {
+            (Spare::Silent, Press::Usual) => 50_000,
+            (Spare::Silent, Press::High) => 10_000,
+            // What one of these has to say has come while it waited itself.
+            (Spare::Silent, Press::Urgent) => 2_000,
+            (Spare::Unfinished, _) => 300_000,
+            (Spare::Idle, _) => 20_000,
+        }
+    }
+
+    /// How many may be on their way out when another one of this kind is asked.
+    fn most_leaving(self, press: Press) -> usize {
+        match (self, press) {
+            (Spare::Silent, Press::High | Press::Urgent) => MOST_SILENT_LEAVING,
+            _ => MOST_LEAVING,
         }
     }
 }
@@ -92,10 +106,10 @@
     /// Asks the connection to leave that can be spared most, and of several the one for longest; false if
     /// none is asked.
     pub fn call_spare(&self, now: Time, press: Press) -> bool {
-        if self.leaving.get() >= MOST_LEAVING {
-            return false;
-        }
         let first_of = |why: Spare| {
+            if self.leaving.get() >= why.most_leaving(press) {
+                return None;
+            }
             let spare = self.spare.borrow();
             let first = spare.range((why, Time::MIN, 0)..).next().copied();
             first.filter(|(of, since, _)| *of == why && now - since >= why.grace(press))
--- a/src/wire/admin/serve.rs
+++ b/src/wire/admin/serve.rs
@@ -1,9 +1,11 @@
 //! The operators' callers: the driver of one connection, and the taking of them.
 
 use super::desk::Desk;
+use crate::state::accept_queue::AcceptQueue;
 use crate::state::planner::Wire;
-use crate::state::seats::{Press, Seat, Seats, Spare};
+use crate::state::seats::{Seat, Seats, Spare};
 use crate::wire::session::close;
+use crate::wire::socket::accepted_now;
 use bytes::BytesMut;
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,13 +23,23 @@
 
 /// Takes callers for good. Where all places are taken, the one that has finished no line for longest gives way.
 pub async fn accept<W: Wire>(listener: TcpListener, desk: Rc<Desk<W>>, seats: Seats) {
+    let mut queue = AcceptQueue::of_own_socket();
     loop {
         while seats.len() >= MOST_CALLERS {
-            while seats.call_spare(desk.clock.now(), Press::Usual) {}
+            let now = desk.clock.now();
+            queue.waits(now);
+            while seats.call_spare(now, queue.press(now)) {}
             tokio::time::sleep(FULL_HOUSE).await;
         }
-        match listener.accept().await {
-            Ok((stream, _)) => drop(tokio::task::spawn_local(serve(stream, desk.clone(), seats.take()))),
+        let accepted = match accepted_now(&listener).await {
+            Some(accepted) => accepted,
+            None => {
+                queue.is_empty_now();
+                listener.accept().await.map(|(stream, _)| stream)
+            }
+        };
+        match accepted {
+            Ok(stream) => drop(tokio::task::spawn_local(serve(stream, desk.clone(), seats.take()))),
             Err(error) => {
                 tracing::warn!(%error, "cannot take a caller");
                 tokio::time::sleep(FULL_HOUSE * 10).await;
--- a/src/wire/socket.rs
+++ b/src/wire/socket.rs
@@ -6,7 +6,7 @@
 use std::io::{Error, ErrorKind};
 use std::mem::MaybeUninit;
 use std::time::Duration;
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 
 /// How long to rest after an error that passes, so that it is not met again and again at once.
 pub const REST: Duration = Duration::from_millis(2);
@@ -38,6 +38,15 @@
     }
 }
 
+/// The next connection on a listening socket, if there is one by now.
+pub async fn accepted_now(listener: &TcpListener) -> Option<std::io::Result<TcpStream>> {
+    tokio::select! {
+        biased;
+        accepted = listener.accept() => Some(accepted.map(|(stream, _)| stream)),
+        () = std::future::ready(()) => None,
+    }
+}
+
 /// Whether an error of a read or a write says nothing about the connection: it works when tried again.
 pub fn passes(error: &Error) -> bool {
     matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) || is_short_of_memory(error)
--- a/tests/accept_queue.rs
+++ b/tests/accept_queue.rs
@@ -18,6 +18,8 @@
 const RETRANSMISSION: Duration = Duration::from_secs(1);
 /// For how long the broker stands still.
 const STILL: Duration = Duration::from_millis(200);
+/// How long an operators' call may take, however busy the broker is.
+const CALL: Duration = Duration::from_secs(1);
 /// How long clients of single requests wait.
 const WAITS_MS: u64 = 3_000;
 /// How long a request lies in the kernel while nobody accepts.
@@ -185,10 +187,14 @@
     }
 
     fn send(&self, process: &Process) -> std::net::TcpStream {
+        self.send_waiting(process, WAITS_MS)
+    }
+
+    fn send_waiting(&self, process: &Process, waits_ms: u64) -> std::net::TcpStream {
         static IDS: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(1);
         let id = IDS.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
         let fields =
-            format!("c=read,t=standard,d={WAITS_MS},volume=00000003b4d60021,units=1,shard=0,hosts=1");
+            format!("c=read,t=standard,d={waits_ms},volume=00000003b4d60021,units=1,shard=0,hosts=1");
         let command = format!(
             "*4\r\n$7\r\nOBJ.GET\r\n$16\r\n7f3a9c21e0b4d655\r\n$16\r\n{id:016x}\r\n${}\r\n{fields}\r\n",
             fields.len()
@@ -249,3 +255,42 @@
     first.signal("-CONT");
     broker.assert_counts_from_when_it_came(client);
 }
+
+/// Connections on which nothing is ever said.
+fn silent(address: &str, count: usize) -> Vec<std::net::TcpStream> {
+    (0..count).map(|_| connect(address)).collect()
+}
+
+/// Guards against a request that waits beyond its time behind connections on which nothing is said, while two processes share
+/// the places of one.
+#[test]
+fn a_request_behind_a_silent_crowd_is_answered_in_its_time_during_an_upgrade() {
+    const WAITS: Duration = Duration::from_millis(500);
+    let broker = Inherited::new("silent-crowd");
+    let _first = broker.start();
+    let second = Process::start(&broker.launch).expect("the broker starts");
+    let mut worst = Duration::ZERO;
+    for _ in 0..5 {
+        let _crowd = silent(&second.listen, 2 * CROWD);
+        let from = Instant::now();
+        let mut client = broker.send_waiting(&second, WAITS.as_millis() as u64);
+        assert_eq!(line(&mut client).ok().as_deref(), Some("$5"));
+        worst = worst.max(from.elapsed());
+    }
+    println!("worst answer {worst:?}");
+    assert!(worst < WAITS, "{worst:?}");
+}
+
+/// Guards against an operators' call that waits behind callers who say nothing.
+#[test]
+fn a_call_behind_a_silent_crowd_is_answered_in_its_time() {
+    let (_discovery, at) = Discovery::start("");
+    let process = Process::start(&launch("silent-callers", None, &at)).expect("the broker starts");
+    let admin = process.admin.clone().expect("operators' calls");
+    let _crowd = silent(&admin, CROWD);
+    let from = Instant::now();
+    let answer = process.call("HEALTH");
+    println!("answer {answer:?} after {:?}", from.elapsed());
+    assert!(answer.is_some());
+    assert!(from.elapsed() < CALL, "{:?}", from.elapsed());
+}
