Accept on an own socket until the last moment, also of a broker that was emptied first

What callers saw: LEAVE, then SIGTERM right after: connections were refused at once, and what the kernel had accepted and nobody had taken was reset, though clients learn of an end only 0.2 to 0.4 s later.

Cause: a broker that was emptied and is told to stop goes the way of one that hands over to another process: it stops accepting and closes its listener. On a socket of its own there is no other process. The same held for its NBD front during every upgrade.

Change: a front knows whether another process may accept on its socket. If not, it accepts until the phase closes all connections, and then takes what the kernel still holds. PING and HEALTH say no as before.

--- a/src/run/front.rs
+++ b/src/run/front.rs
@@ -35,6 +35,8 @@
     pub seats: Seats,
     /// How many there may be.
     pub most: Rc<Cell<usize>>,
+    /// Whether another process may accept on the same socket.
+    pub shared: bool,
     /// How long connections have waited to be accepted.
     pub queue: Cell<AcceptQueue>,
     /// What the system tells of that where this process cannot know.
@@ -52,16 +54,18 @@
 impl<W: Wire> Front<W> {
     /// Takes connections for as long as the phase allows.
     pub async fn accept<S: Session<W>>(self, session: impl Fn() -> S) {
+        let shared = self.shared;
+        let accepts = move |phase: &Phase| if shared { phase.accepts() } else { phase.accepts_alone() };
         let mut phase = self.site.phase.clone();
         loop {
             tokio::select! {
                 biased;
-                _ = phase.wait_for(|phase| !phase.accepts()) => {}
+                _ = phase.wait_for(|phase| !accepts(phase)) => {}
                 () = self.take(&session) => {}
             }
             // Another process that took them in its place may be gone.
-            let last = match phase.wait_for(|phase| phase.accepts() || phase.stops()).await {
-                Ok(phase) if phase.accepts() => {
+            let last = match phase.wait_for(|phase| accepts(phase) || phase.stops()).await {
+                Ok(phase) if accepts(&phase) => {
                     self.note(|queue, now| queue.taken_back(now));
                     continue;
                 }
--- a/src/run/nbd.rs
+++ b/src/run/nbd.rs
@@ -140,6 +140,7 @@
         site: Site { planner: own.clone(), guard: request_guard, pulse: place.pulse, phase: place.phase },
         seats: seats.clone(),
         most: Rc::new(Cell::new(place.limits.clients)),
+        shared: false,
         queue: Cell::new(AcceptQueue::of_own_socket()),
         ages: RefCell::default(),
     };
--- a/src/run/start.rs
+++ b/src/run/start.rs
@@ -202,6 +202,7 @@
         },
         seats: seats.clone(),
         most: most.clone(),
+        shared: inherited,
         queue: Cell::new(match inherited {
             true => AcceptQueue::of_shared_socket(clock.now()),
             false => AcceptQueue::of_own_socket(),
--- a/src/state/phase.rs
+++ b/src/state/phase.rs
@@ -118,6 +118,12 @@
         !matches!(self, Phase::Yielding | Phase::HandingOver(..) | Phase::Closing(..))
     }
 
+    /// Whether connections are taken on a socket on which no other process accepts: until the last moment, since nobody would
+    /// answer them.
+    pub fn accepts_alone(self) -> bool {
+        !matches!(self, Phase::Closing(..))
+    }
+
     /// Whether the process is about to end.
     pub fn stops(self) -> bool {
         matches!(self, Phase::HandingOver(..) | Phase::Closing(..))
--- a/src/state/phase/tests.rs
+++ b/src/state/phase/tests.rs
@@ -32,6 +32,7 @@
 
 #[test]
 fn what_it_says_and_takes_follows_from_the_phase() {
+    assert!(Phase::HandingOver(0, 1).accepts_alone() && !Phase::Closing(0, 1).accepts_alone());
     let told = |p: Phase| (p.welcomes(), p.serves(), p.accepts());
     assert_eq!(told(Phase::Starting), (false, false, true));
     assert_eq!(told(Phase::Serving), (true, true, true));
--- a/tests/accept_queue.rs
+++ b/tests/accept_queue.rs
@@ -191,17 +191,21 @@
     }
 
     fn send_waiting(&self, process: &Process, waits_ms: u64) -> std::net::TcpStream {
+        let mut stream = connect(&process.listen);
+        stream.write_all(self.command(waits_ms).as_bytes()).expect("asks");
+        stream
+    }
+
+    /// A command with a new id, whose client waits so long.
+    fn command(&self, waits_ms: u64) -> String {
         static IDS: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(1);
         let id = IDS.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
         let fields =
             format!("c=read,t=standard,d={waits_ms},volume=00000003b4d60021,units=1,shard=0,hosts=1");
-        let command = format!(
+        format!(
             "*4\r\n$7\r\nOBJ.GET\r\n$16\r\n7f3a9c21e0b4d655\r\n$16\r\n{id:016x}\r\n${}\r\n{fields}\r\n",
             fields.len()
-        );
-        let mut stream = connect(&process.listen);
-        stream.write_all(command.as_bytes()).expect("asks");
-        stream
+        )
     }
 
     fn ask(&self, process: &Process) -> Option<String> {
@@ -294,3 +298,18 @@
     assert!(answer.is_some());
     assert!(from.elapsed() < CALL, "{:?}", from.elapsed());
 }
+
+/// Guards against connections that are refused or reset since the broker was emptied right before it was told to stop.
+#[test]
+fn a_broker_that_is_emptied_and_told_to_stop_answers_those_who_have_not_heard_of_it() {
+    let mut broker = Inherited::new("emptied-and-told");
+    broker.launch.inherited = None;
+    let process = broker.start();
+    process.call("LEAVE").expect("a yes");
+    process.signal("-TERM");
+    for _ in 0..8 {
+        std::thread::sleep(Duration::from_millis(50));
+        let answer = broker.ask(&process);
+        assert!(answer.as_deref().is_some_and(|a| a == "$5" || a.starts_with("-BUSY")), "{answer:?}");
+    }
+}
