Refuse the first request of a connection that ends before it has said a word

Cause: a connection on which nothing had been said was dropped without a word: silent for 0.6 s while the broker is emptied, for 2 s at any time, for some ms where its place is wanted. A first request that was on its way then, held up by the network, was reset away; its client has no older connection whose end it could put this down to.

Change: such a connection is refused in advance, -BUSY before the end: whatever first request crosses it has its final answer, and it was sent nowhere. As other servers do that are full, which say so before they close. NBD has no words for that.

A client that writes several commands at once has one answer for them.

--- a/src/state/guard.rs
+++ b/src/state/guard.rs
@@ -116,6 +116,11 @@
 }
 
 impl CloseReason {
+    /// Whether the broker ends a connection by its own wish, between requests.
+    pub fn is_own_wish(self) -> bool {
+        matches!(self, CloseReason::Idle | CloseReason::PlaceWanted | CloseReason::SentAway)
+    }
+
     /// Whether the broker may end a connection so under what it owes there.
     fn excuses(self) -> bool {
         matches!(self, CloseReason::ClientGone | CloseReason::NotRead | CloseReason::BrokenValue)
--- a/src/wire/resp/server.rs
+++ b/src/wire/resp/server.rs
@@ -142,6 +142,8 @@
     format!("${length}\r\n").into()
 }
 
+/// The answer to a request that was sent nowhere: trying again is harmless.
+const BUSY: &[u8] = b"-BUSY\r\n";
 /// The answer to a request that failed.
 const FAILED: &[u8] = b"-ERR failed\r\n";
 
@@ -259,7 +261,7 @@
             return Err(b"-ERR id of a request that is open\r\n");
         }
         if !self.common.room.take(REQUEST_BYTES + held) {
-            return Err(b"-BUSY\r\n"); // It was sent nowhere: trying again is harmless.
+            return Err(BUSY);
         }
         self.common.open.borrow_mut().insert(owed.id.clone());
         // The one line that tells which number in the log is which request of a client.
@@ -500,7 +502,7 @@
                 vec![value_head(value.len()), value, Bytes::from_static(b"\r\n")]
             }
             Answer::Refused(after) if after > 0 => vec![format!("-BUSY {}\r\n", (after + 999) / 1000).into()],
-            Answer::Refused(_) => vec![Bytes::from_static(b"-BUSY\r\n")],
+            Answer::Refused(_) => vec![Bytes::from_static(BUSY)],
             Answer::Failed => vec![Bytes::from_static(FAILED)],
         };
         if let Slot::Owed(owed) = std::mem::replace(&mut self.slots[place], Slot::Ready(parts)) {
@@ -577,6 +579,11 @@
         self.ending
     }
 
+    fn turn_away(&mut self) {
+        self.ready(BUSY);
+        self.flush();
+    }
+
     fn hurry(&mut self) {
         self.ending = true;
         self.ready(b"-ERR unfinished command\r\n");
--- a/src/wire/session.rs
+++ b/src/wire/session.rs
@@ -104,6 +104,9 @@
     fn hurry(&mut self);
     /// The broker stops: says so, where the protocol has words for it.
     fn stop(&mut self) {}
+    /// The connection ends before a command has come: refuses the first one, where the protocol has words for it, since it may
+    /// be on its way.
+    fn turn_away(&mut self) {}
 }
 
 /// What a connection has done lately, for its deadline.
@@ -316,14 +319,18 @@
         }
     };
     ways.end(&session, &pace, reason, *phase.borrow());
+    if !pace.used && reason.is_own_wish() {
+        session.turn_away();
+        // A client that does not take even this much is owed no more.
+        let _ = stream.try_write_vectored(&session.outbox().slices());
+    }
     match reason {
         CloseReason::ClientGone | CloseReason::NotRead | CloseReason::BrokenValue => {}
         CloseReason::Ended => close(stream).await,
+        // The place of one that has never said a word is given away at once.
+        CloseReason::PlaceWanted if !pace.used => {}
         // What crosses the end must not reset away an answer that is on its way.
-        CloseReason::Idle | CloseReason::PlaceWanted | CloseReason::SentAway if pace.used => {
-            close(stream).await
-        }
-        CloseReason::Idle | CloseReason::PlaceWanted | CloseReason::SentAway => {}
+        CloseReason::Idle | CloseReason::PlaceWanted | CloseReason::SentAway => close(stream).await,
     }
 }
 
--- a/tests/accept_queue.rs
+++ b/tests/accept_queue.rs
@@ -313,3 +313,35 @@
         assert!(answer.as_deref().is_some_and(|a| a == "$5" || a.starts_with("-BUSY")), "{answer:?}");
     }
 }
+
+/// Guards against a first request that is reset away because it crosses the end of its connection: bytes held back on the way
+/// for 0 to 1.7 s, on connections made around LEAVE, with JOIN and without.
+#[test]
+fn a_first_request_that_crosses_the_end_of_its_connection_has_an_answer() {
+    const STEPS: u32 = 100;
+    const HELD_BACK: Duration = Duration::from_millis(1_700);
+    for (case, joins) in [("leave-and-join", true), ("leave", false)] {
+        let mut broker = Inherited::new(case);
+        broker.launch.inherited = None;
+        let process = broker.start();
+        let begin = Instant::now();
+        let clients: Vec<std::net::TcpStream> = (0..STEPS).map(|_| connect(&process.listen)).collect();
+        process.call("LEAVE").expect("a yes");
+        let mut is_back = false;
+        let mut answers = std::collections::BTreeMap::new();
+        for (step, mut client) in clients.into_iter().enumerate() {
+            let at = begin + HELD_BACK * step as u32 / STEPS;
+            std::thread::sleep(at.saturating_duration_since(Instant::now()));
+            if joins && !is_back && begin.elapsed() > Duration::from_secs(1) {
+                process.call("JOIN").expect("a yes");
+                is_back = true;
+            }
+            // A connection that has ended may refuse the bytes; what was said on it is read all the same.
+            let _ = client.write_all(broker.command(WAITS_MS).as_bytes());
+            let answer = line(&mut client).map_err(|error| format!("{:?}", error.kind()));
+            *answers.entry(answer).or_insert(0) += 1;
+        }
+        println!("{case}: {answers:?}");
+        assert!(answers.keys().all(|a| matches!(a.as_deref(), Ok("$5" | "-BUSY"))), "{case}: {answers:?}");
+    }
+}
