Refuse what has waited for half of the shortest deadline before a full house

What callers saw: a request that was written to a connection which the kernel had accepted got no answer in its time, since requests of others that take long held all places. A crowd that is silent is sent away; one that is busy cannot be.

Cause: a full house with nobody to spare accepted nothing until a place was free, however long that took. A longer accept queue alone would have let more requests wait there.

What the queue holds shows in no counter but its length.

Change: a full house accepts one connection that waits for a place; from its accept it is known whether and since when anybody waits, which was counted from the moment at which the house was full. Once that is half of the shortest deadline by the settings in force, up to 8 at a time are accepted beyond the places to be refused at once and closed. NBD clients say nothing before they are greeted, so nothing is owed to those that wait there.

--- a/src/run/front.rs
+++ b/src/run/front.rs
@@ -7,7 +7,7 @@
 use crate::state::planner::Wire;
 use crate::state::seats::Seats;
 use crate::wire::clock::Clock;
-use crate::wire::session::{serve, Session, Site};
+use crate::wire::session::{serve, Admission, Session, Site, Visit};
 use crate::wire::socket::{accepted_now, unread, Unread};
 use std::cell::{Cell, RefCell};
 use std::io::ErrorKind;
@@ -18,6 +18,10 @@
 
 /// Connections that are taken in one turn when the listener is about to close.
 const TURN: usize = 128;
+/// Connections beyond those of a full house that are accepted to be refused.
+pub const MOST_REFUSED: usize = 8;
+/// Connections beyond those of a full house that are accepted and wait for a place.
+pub const MOST_WAITING: usize = 1;
 /// How long to wait when descriptors or seats have run out.
 const FULL_HOUSE: Duration = Duration::from_millis(2);
 /// How often the log says that connections cannot be taken.
@@ -35,12 +39,23 @@
     pub seats: Seats,
     /// How many there may be.
     pub most: Rc<Cell<usize>>,
+    /// How long a connection may wait for a place, in microseconds, by the settings in force.
+    pub patience: Box<dyn Fn() -> Time>,
     /// Whether another process may accept on the same socket.
     pub shared: bool,
     /// How long connections have waited to be accepted.
     pub queue: Cell<AcceptQueue>,
     /// What the system tells of that where this process cannot know.
     pub ages: RefCell<SocketAges>,
+    /// The connection that is accepted and waits for a place.
+    pub waiting: RefCell<Option<Accepted>>,
+}
+
+/// A connection that was accepted.
+pub struct Accepted {
+    stream: TcpStream,
+    /// The earliest moment at which what lies on it may have come.
+    arrived: Time,
 }
 
 /// Sweeps the deadlines of a front's clients for good.
@@ -63,6 +78,7 @@
                 _ = phase.wait_for(|phase| !accepts(phase)) => {}
                 () = self.take(&session) => {}
             }
+            self.serve_waiting(&session, Admission::Served);
             // Another process that took them in its place may be gone.
             let last = match phase.wait_for(|phase| accepts(phase) || phase.stops()).await {
                 Ok(phase) if accepts(&phase) => {
@@ -97,7 +113,7 @@
                 TcpStream::from_std(stream)
             });
             match accepted {
-                Ok(stream) => self.serve(stream, session),
+                Ok(stream) => self.serve(self.accepted(stream), session, Admission::Served),
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return,
                 // Descriptors may have run out, or one connection was aborted: the others are still there.
                 Err(error) => {
@@ -134,10 +150,62 @@
         age.map_or(known, |age| self.site.pulse.now() - age.as_micros() as Time)
     }
 
-    fn serve<S: Session<W>>(&self, stream: TcpStream, session: &impl Fn() -> S) {
-        let seat = self.seats.take();
+    fn serve<S: Session<W>>(&self, next: Accepted, session: &impl Fn() -> S, admission: Admission) {
+        let Accepted { stream, arrived } = next;
+        let visit = Visit { seat: self.seats.take(), arrived, admission };
+        tokio::task::spawn_local(serve(stream, session(), self.site.clone(), visit));
+    }
+
+    fn accepted(&self, stream: TcpStream) -> Accepted {
         let arrived = self.arrival(&stream);
-        tokio::task::spawn_local(serve(stream, session(), self.site.clone(), (seat, arrived)));
+        Accepted { stream, arrived }
+    }
+
+    /// In a full house: accepts one connection that waits for a place, and asks those that can be spared to leave. Where that has
+    /// not helped for long, those that wait are refused.
+    async fn wait_for_a_place<S: Session<W>>(&self, session: &impl Fn() -> S) {
+        self.accept_waiting().await;
+        self.make_room().await;
+        let places = self.most.get()..self.most.get() + MOST_REFUSED;
+        while places.contains(&self.seats.len()) && self.is_too_late() {
+            self.serve_waiting(session, Admission::Refused);
+            if !self.accept_waiting().await {
+                return;
+            }
+        }
+    }
+
+    /// Whether connections have waited for so long that they are refused rather than wait any more.
+    fn is_too_late(&self) -> bool {
+        self.queue.get().waited(self.site.pulse.now()) > (self.patience)()
+    }
+
+    /// Accepts the connection that is to wait for a place; whether there is one.
+    async fn accept_waiting(&self) -> bool {
+        if self.waiting.borrow().is_some() {
+            return true;
+        }
+        match accepted_now(&self.listener).await {
+            Some(Ok(stream)) => {
+                let next = self.accepted(stream);
+                self.note(AcceptQueue::waits);
+                self.waiting.replace(Some(next));
+                true
+            }
+            // The next look meets the error again.
+            Some(Err(_)) => false,
+            None => {
+                self.note(|queue, _| queue.is_empty_now());
+                false
+            }
+        }
+    }
+
+    /// Serves the connection that waits for a place, if there is one.
+    fn serve_waiting<S: Session<W>>(&self, session: &impl Fn() -> S, admission: Admission) {
+        if let Some(next) = self.waiting.take() {
+            self.serve(next, session, admission);
+        }
     }
 
     /// Takes connections for good. What the kernel has accepted is owed an answer, so a full house asks those
@@ -150,8 +218,11 @@
         }
         loop {
             while self.seats.len() >= self.most.get() {
-                self.note(AcceptQueue::waits);
-                self.make_room().await;
+                self.wait_for_a_place(session).await;
+            }
+            if self.waiting.borrow().is_some() {
+                self.serve_waiting(session, Admission::Served);
+                continue;
             }
             let accepted = match accepted_now(&self.listener).await {
                 Some(accepted) => accepted,
@@ -162,7 +233,7 @@
             };
             self.note(AcceptQueue::waits);
             match accepted {
-                Ok(stream) => self.serve(stream, session),
+                Ok(stream) => self.serve(self.accepted(stream), session, Admission::Served),
                 Err(error) => {
                     if said.is_none_or(|at: Instant| at.elapsed() > SAID_AGAIN) {
                         said = Some(Instant::now());
--- a/src/run/nbd.rs
+++ b/src/run/nbd.rs
@@ -9,7 +9,7 @@
 use super::listen::listen;
 use super::peers::Peers;
 use super::settings::Bounds;
-use crate::interface::ListKind;
+use crate::interface::{ListKind, Time};
 use crate::state::accept_queue::AcceptQueue;
 use crate::state::agreement::Agreement;
 use crate::state::phase::Phase;
@@ -140,9 +140,12 @@
         site: Site { planner: own.clone(), guard: request_guard, pulse: place.pulse, phase: place.phase },
         seats: seats.clone(),
         most: Rc::new(Cell::new(place.limits.clients)),
+        // Clients say nothing before they are greeted, so nothing is owed to those that wait.
+        patience: Box::new(|| Time::MAX),
         shared: false,
         queue: Cell::new(AcceptQueue::of_own_socket()),
         ages: RefCell::default(),
+        waiting: RefCell::default(),
     };
     tokio::task::spawn_local(sweep(seats.clone(), place.clock));
     let accepting = tokio::task::spawn_local(front.accept(move || Client::new(exports.clone(), ids.clone())));
--- a/src/run/start.rs
+++ b/src/run/start.rs
@@ -202,12 +202,17 @@
         },
         seats: seats.clone(),
         most: most.clone(),
+        patience: Box::new({
+            let common = common.clone();
+            move || common.terms.borrow().patience()
+        }),
         shared: inherited,
         queue: Cell::new(match inherited {
             true => AcceptQueue::of_shared_socket(clock.now()),
             false => AcceptQueue::of_own_socket(),
         }),
         ages: RefCell::default(),
+        waiting: RefCell::default(),
     };
     let (keeper, wanted) = unbounded_channel();
     let (part, mut parts) = watch::channel(0.0);
--- a/src/state/accept_queue.rs
+++ b/src/state/accept_queue.rs
@@ -65,11 +65,16 @@
         }
     }
 
+    /// How long connections may have waited by now.
+    pub fn waited(&self, now: Time) -> Time {
+        now - self.arrived(now)
+    }
+
     /// How much the connections that wait press for places.
     pub fn press(&self, now: Time) -> Press {
-        match now - self.arrived(now) {
-            ..=LONG_WAIT => Press::Usual,
-            ..=TOO_LONG_WAIT => Press::High,
+        match self.waited(now) {
+            waited if waited <= LONG_WAIT => Press::Usual,
+            waited if waited <= TOO_LONG_WAIT => Press::High,
             _ => Press::Urgent,
         }
     }
--- a/src/wire/resp/server.rs
+++ b/src/wire/resp/server.rs
@@ -60,6 +60,14 @@
     pub shards: Option<u32>,
 }
 
+impl Terms {
+    /// How long a request may wait to be taken: half of the shortest deadline, since one that is refused by then has time to go
+    /// elsewhere.
+    pub fn patience(&self) -> Time {
+        self.classes.iter().map(|class| class.value.deadline / 2).min().unwrap_or(Time::MAX)
+    }
+}
+
 /// What the sessions of a front share.
 pub struct Common {
     /// What requests may say; replaced as a whole.
--- a/src/wire/session.rs
+++ b/src/wire/session.rs
@@ -40,6 +40,8 @@
 /// How long the first command may take from the moment of connecting: a client that sends nothing of use is
 /// told or sent away within 3 s.
 const FIRST_COMMAND: Time = 2_800_000;
+/// How long the first command may take where it is only refused.
+const REFUSED_PATIENCE: Time = 100_000;
 /// How long a client may leave its answers unread: no request waits longer.
 const UNREAD: Time = 5_000_000;
 
@@ -109,6 +111,45 @@
     fn turn_away(&mut self) {}
 }
 
+/// What becomes of the requests of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// They are served, as far as that can be.
+    Served,
+    /// All places are taken by others: they are refused at once, and the connection ends.
+    Refused,
+}
+
+impl Admission {
+    /// When a connection that was last of use at `since` is to be closed between requests. It has had an `answer` then, or else
+    /// has only been opened.
+    fn closes_at(self, phase: Phase, since: Time, answer: bool) -> Option<Time> {
+        match self {
+            Admission::Served => phase.closes_at(since, answer),
+            Admission::Refused if answer => Some(since),
+            Admission::Refused => Some(since + REFUSED_PATIENCE),
+        }
+    }
+
+    /// When a request must have its answer that is taken at `now` and due at `due`.
+    fn due(self, due: Time, now: Time) -> Time {
+        match self {
+            Admission::Served => due,
+            Admission::Refused => due.min(now),
+        }
+    }
+}
+
+/// A connection as its front accepted it.
+pub struct Visit {
+    /// Its place.
+    pub seat: Seat,
+    /// The earliest moment at which what lies on it may have come.
+    pub arrived: Time,
+    /// What becomes of its requests.
+    pub admission: Admission,
+}
+
 /// What a connection has done lately, for its deadline.
 struct Pace {
     accepted: Time,
@@ -165,12 +206,12 @@
 }
 
 /// Carries one client connection until either side is done with it, or until the broker's phase wants it closed
-/// between requests. It came at `arrived` at the earliest; what lies on it already may have come then.
+/// between requests.
 pub async fn serve<W: Wire, S: Session<W>>(
     stream: TcpStream,
     mut session: S,
     site: Site<W>,
-    (seat, arrived): (Seat, Time),
+    Visit { seat, arrived, admission }: Visit,
 ) {
     let Site { planner, guard, pulse, mut phase } = site;
     let (back, mut answers) = unbounded_channel();
@@ -181,7 +222,7 @@
     // Since when nothing was read.
     let mut not_read_since = None;
     let lying = (unread(&stream) == Unread::Bytes).then_some(arrived);
-    let ways = Ways { planner, guard, back, pulse, lying: Cell::new(lying) };
+    let ways = Ways { planner, guard, back, pulse, admission, lying: Cell::new(lying) };
     let _ = stream.set_nodelay(true);
     let reason = loop {
         session.fill();
@@ -198,7 +239,8 @@
         let over = is_over(deadline);
         // A command that has begun is waited for: its last byte may be on its way.
         let stands = *phase.borrow();
-        let closes = stands.closes_at(pace.since, pace.used).filter(|_| idle && pace.begun.is_none());
+        let closes =
+            admission.closes_at(stands, pace.since, pace.used).filter(|_| idle && pace.begun.is_none());
         // Half a command is not waited for beyond the last moment at which its answer could be given.
         let ends = stands.ends_at().filter(|_| idle);
         let deaf = stands.deaf_at().filter(|_| !idle);
@@ -324,13 +366,18 @@
         // A client that does not take even this much is owed no more.
         let _ = stream.try_write_vectored(&session.outbox().slices());
     }
+    if lingers(reason, pace.used, admission) {
+        close(stream).await;
+    }
+}
+
+/// Whether a connection is kept for a moment after its end was said: what crosses the end must not reset away an answer that is
+/// on its way. Where places run out, one that had none or never said a word makes way at once.
+fn lingers(reason: CloseReason, used: bool, admission: Admission) -> bool {
     match reason {
-        CloseReason::ClientGone | CloseReason::NotRead | CloseReason::BrokenValue => {}
-        CloseReason::Ended => close(stream).await,
-        // The place of one that has never said a word is given away at once.
-        CloseReason::PlaceWanted if !pace.used => {}
-        // What crosses the end must not reset away an answer that is on its way.
-        CloseReason::Idle | CloseReason::PlaceWanted | CloseReason::SentAway => close(stream).await,
+        CloseReason::ClientGone | CloseReason::NotRead | CloseReason::BrokenValue => false,
+        CloseReason::PlaceWanted => used,
+        CloseReason::Ended | CloseReason::Idle | CloseReason::SentAway => admission == Admission::Served,
     }
 }
 
@@ -368,6 +415,7 @@
     guard: Guard,
     back: Back<W::Reply>,
     pulse: Pulse,
+    admission: Admission,
     /// Since when what is taken next may have waited, in the socket or in what was read ahead; nothing if it has just come.
     lying: Cell<Option<Time>>,
 }
@@ -416,7 +464,8 @@
             // A client that is idle must not pin the buffer of its last command.
             *read = BytesMut::new();
         }
-        for (arrival, request) in asks {
+        for (mut arrival, request) in asks {
+            arrival.due = self.admission.due(arrival.due, self.pulse.now());
             // The time of one whose body is still coming is not known yet.
             let due = if W::flows(&request) { Time::MAX } else { arrival.due };
             self.guard.take(arrival.id, due);
@@ -424,6 +473,7 @@
             let _ = self.planner.send(Input::Ask(ask));
         }
         while let Some((id, due)) = session.whole() {
+            let due = self.admission.due(due, self.pulse.now());
             self.guard.retime(id, due);
             let _ = self.planner.send(Input::Whole(id, due));
         }
--- a/tests/accept_queue.rs
+++ b/tests/accept_queue.rs
@@ -345,3 +345,28 @@
         assert!(answers.keys().all(|a| matches!(a.as_deref(), Ok("$5" | "-BUSY"))), "{case}: {answers:?}");
     }
 }
+
+/// Guards against a request that nobody reads in its time, since requests of others that take long hold all places.
+#[test]
+fn a_request_before_a_full_house_is_refused_in_its_time() {
+    /// The deadline of the class, and how long others wait all the same.
+    const WAITS_MS: u64 = 1_000;
+    const OTHERS_WAIT_MS: u64 = 2_000;
+    /// More than the places of a process that may hold 256 descriptors.
+    const OTHERS: usize = 300;
+    let mut broker = Inherited::new("full-house");
+    broker.launch.inherited = None;
+    broker.launch.settings = settings().replace("\"deadline_s\":3.0", "\"deadline_s\":1.0");
+    let process = Process::start(&broker.launch).expect("the broker starts");
+    let serves = || line(&mut broker.send_waiting(&process, WAITS_MS)).is_ok_and(|answer| answer == "$5");
+    until("it serves", serves);
+    broker.script.lock().expect("the script").next = (0..OTHERS).map(|_| Manner::Hang).collect();
+    let _others: Vec<_> = (0..OTHERS).map(|_| broker.send_waiting(&process, OTHERS_WAIT_MS)).collect();
+    let from = Instant::now();
+    let mut client = broker.send_waiting(&process, WAITS_MS);
+    client.set_read_timeout(Some(Duration::from_millis(2 * WAITS_MS))).expect("a time-out");
+    let answer = line(&mut client).ok();
+    println!("{answer:?} after {:?}", from.elapsed());
+    assert!(answer.as_deref().is_some_and(|answer| answer.starts_with("-BUSY")), "{answer:?}");
+    assert!(from.elapsed() < Duration::from_millis(WAITS_MS), "{:?}", from.elapsed());
+}
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -467,7 +467,8 @@
     let hung = resp_command(true).replace("d=2000", "d=4000");
     resp.stream.write_all(hung.as_bytes()).unwrap();
     until("the node has the request", || resp.script.lock().unwrap().next.is_empty());
-    assert!(line(&mut silent).is_err(), "closed without a word");
+    assert_eq!(line(&mut silent).unwrap(), "-BUSY", "what it may just have asked is refused");
+    assert!(line(&mut silent).is_err(), "and closed");
     assert!(line(&mut half).unwrap().starts_with("-ERR "));
     assert!(line(&mut half).is_err(), "and closed");
     assert!(line(&mut handshake).is_err(), "closed without a word");
