Bound what a closing listener takes by the end, and say how long a connection was open

It now stops where nothing could be answered any more.

The debug line of a close says for how long the connection was open (`open_us`), beside the reason, the phase and whether it was ever used: what a report on a connection that ended unread needs. Words of the touched files that stood for a front without free places are renamed.

--- a/src/run/front.rs
+++ b/src/run/front.rs
@@ -18,12 +18,12 @@
 
 /// Connections that are taken in one turn when the listener is about to close.
 const TURN: usize = 128;
-/// Connections beyond those of a full house that are accepted to be refused.
+/// Connections beyond its places that a full front accepts to refuse them.
 pub const MOST_REFUSED: usize = 8;
-/// Connections beyond those of a full house that are accepted and wait for a place.
+/// Connections beyond its places that a full front accepts and lets wait for one.
 pub const MOST_WAITING: usize = 1;
 /// How long to wait when descriptors or seats have run out.
-const FULL_HOUSE: Duration = Duration::from_millis(2);
+const FULL_RETRY: Duration = Duration::from_millis(2);
 /// How often the log says that connections cannot be taken.
 const SAID_AGAIN: Duration = Duration::from_secs(1);
 /// How often the deadlines of clients are swept.
@@ -98,7 +98,7 @@
     /// Takes what the kernel has accepted before the listener closes, which would reset it.
     async fn take_last<S: Session<W>>(&self, session: &impl Fn() -> S) {
         // What is there is seen only after a look at the sockets.
-        tokio::time::sleep(FULL_HOUSE).await;
+        tokio::time::sleep(FULL_RETRY).await;
         self.note(AcceptQueue::waits);
         // The system itself is asked: what the runtime knows of the listener may be old.
         let Ok(listener) = self.listener.as_fd().try_clone_to_owned().map(std::net::TcpListener::from) else {
@@ -107,6 +107,10 @@
         for taken in 1_usize.. {
             if taken.is_multiple_of(TURN) {
                 tokio::task::yield_now().await;
+                if self.site.phase.borrow().ends_at().is_some_and(|at| at <= self.site.pulse.now()) {
+                    // Whoever still comes could not be answered any more.
+                    return;
+                }
             }
             let accepted = listener.accept().and_then(|(stream, _)| {
                 stream.set_nonblocking(true)?;
@@ -136,7 +140,7 @@
         let now = self.site.pulse.now();
         let press = self.queue.get().press(now);
         while self.seats.call_spare(now, press) {}
-        tokio::time::sleep(FULL_HOUSE).await;
+        tokio::time::sleep(FULL_RETRY).await;
     }
 
     /// The earliest moment at which what lies on a connection may have come that is accepted now.
@@ -161,7 +165,7 @@
         Accepted { stream, arrived }
     }
 
-    /// In a full house: accepts one connection that waits for a place, and asks those that can be spared to leave. Where that has
+    /// At a full front: accepts one connection that waits for a place, and asks those that can be spared to leave. Where that has
     /// not helped for long, those that wait are refused.
     async fn wait_for_a_place<S: Session<W>>(&self, session: &impl Fn() -> S) {
         self.accept_waiting().await;
@@ -208,13 +212,13 @@
         }
     }
 
-    /// Takes connections for good. What the kernel has accepted is owed an answer, so a full house asks those
+    /// Takes connections for good. What the kernel has accepted is owed an answer, so a full front asks those
     /// connections that can be spared to leave, rather than let new ones wait.
     async fn take<S: Session<W>>(&self, session: &impl Fn() -> S) {
         let mut said = None;
         if self.queue.get().is_unattended() {
             // What is there is seen only after a look at the sockets.
-            tokio::time::sleep(FULL_HOUSE).await;
+            tokio::time::sleep(FULL_RETRY).await;
         }
         loop {
             while self.seats.len() >= self.most.get() {
--- a/src/run/limits.rs
+++ b/src/run/limits.rs
@@ -3,7 +3,7 @@
 use super::front::{MOST_REFUSED, MOST_WAITING};
 
 /// Descriptors kept for the listeners, discovery (twice while it moves), the runtime, the log, signals and the connections that a
-/// full house refuses.
+/// full front refuses.
 const RESERVED: usize = 24 + MOST_REFUSED + MOST_WAITING;
 /// Memory that a client connection may take: its read buffer, and its unread answers.
 const CLIENT_KB: usize = 96;
--- a/src/state/seats.rs
+++ b/src/state/seats.rs
@@ -1,4 +1,4 @@
-//! The seats of clients: a full house makes room by closing a connection that is between requests.
+//! The seats of clients: a full front makes room by closing a connection that is between requests.
 
 use super::deadlines::Deadlines;
 use crate::interface::Time;
@@ -39,7 +39,7 @@
     /// All kinds, in their order.
     const ALL: [Spare; 3] = [Spare::Silent, Spare::Unfinished, Spare::Idle];
 
-    /// How long it must have been so, even in a full house: the first request of one that has just come may be
+    /// How long it must have been so, even at a full front: the first request of one that has just come may be
     /// on its way, some clients send in pieces, and a client that has its answer may go on.
     fn grace(self, press: Press) -> Time {
         match (self, press) {
--- a/src/wire/admin/serve.rs
+++ b/src/wire/admin/serve.rs
@@ -19,7 +19,7 @@
 /// How long it may take to read its answer.
 const READING: Duration = Duration::from_secs(1);
 /// How long to wait when all places are taken.
-const FULL_HOUSE: Duration = Duration::from_millis(2);
+const FULL_RETRY: Duration = Duration::from_millis(2);
 
 /// Takes callers for good. Where all places are taken, the one that has finished no line for longest gives way.
 pub async fn accept<W: Wire>(listener: TcpListener, desk: Rc<Desk<W>>, seats: Seats) {
@@ -29,7 +29,7 @@
             let now = desk.clock.now();
             queue.waits(now);
             while seats.call_spare(now, queue.press(now)) {}
-            tokio::time::sleep(FULL_HOUSE).await;
+            tokio::time::sleep(FULL_RETRY).await;
         }
         let accepted = match accepted_now(&listener).await {
             Some(accepted) => accepted,
@@ -42,7 +42,7 @@
             Ok(stream) => drop(tokio::task::spawn_local(serve(stream, desk.clone(), seats.take()))),
             Err(error) => {
                 tracing::warn!(%error, "cannot take a caller");
-                tokio::time::sleep(FULL_HOUSE * 10).await;
+                tokio::time::sleep(FULL_RETRY * 10).await;
             }
         }
     }
--- a/src/wire/session.rs
+++ b/src/wire/session.rs
@@ -436,7 +436,10 @@
             CloseReason::NotRead | CloseReason::BrokenValue if !owed.is_empty() => {
                 tracing::warn!(?reason, ?owed, "client closed under what it is owed");
             }
-            _ => tracing::debug!(?reason, ?owed, used = pace.used, ?phase, "client closed"),
+            _ => {
+                let open_us = self.pulse.now() - pace.accepted;
+                tracing::debug!(?reason, ?owed, used = pace.used, open_us, ?phase, "client closed");
+            }
         }
         for id in owed {
             let _ = self.planner.send(Input::Gone(id));
--- a/tests/accept_queue.rs
+++ b/tests/accept_queue.rs
@@ -348,13 +348,13 @@
 
 /// Guards against a request that nobody reads in its time, since requests of others that take long hold all places.
 #[test]
-fn a_request_before_a_full_house_is_refused_in_its_time() {
+fn a_request_at_a_full_front_is_refused_in_its_time() {
     /// The deadline of the class, and how long others wait all the same.
     const WAITS_MS: u64 = 1_000;
     const OTHERS_WAIT_MS: u64 = 2_000;
     /// More than the places of a process that may hold 256 descriptors.
     const OTHERS: usize = 300;
-    let mut broker = Inherited::new("full-house");
+    let mut broker = Inherited::new("full-front");
     broker.launch.inherited = None;
     broker.launch.settings = settings().replace("\"deadline_s\":3.0", "\"deadline_s\":1.0");
     let process = Process::start(&broker.launch).expect("the broker starts");
