--- a/tests/accept_queue.rs
+++ b/tests/accept_queue.rs
@@ -112,7 +112,8 @@
     assert_eq!(up.len(), met.len(), "{front}: some connections did not come up");
     let worst = up.iter().map(|met| met.connected_after).max().unwrap_or_default();
     let answered = up.iter().filter_map(|met| met.answered_after);
-    println!("{front}: worst connect {worst:?}, worst answer {:?}", answered.clone().max());
+    let (count, of) = (answered.clone().count(), met.len());
+    println!("{front}: worst connect {worst:?}, worst answer {:?}, {count} of {of}", answered.clone().max());
     assert!(worst < RETRANSMISSION, "{front}: a handshake was dropped: {worst:?}");
     assert_eq!(answered.count(), up.len(), "{front}: some were not answered");
 }
@@ -151,15 +152,30 @@
 
 /// Guards against the same at the sockets that the broker makes itself.
 #[test]
-fn a_crowd_at_any_front_loses_no_handshake() {
+fn a_crowd_of_clients_loses_no_handshake() {
     let (_discovery, at) = Discovery::start("");
     let process = Process::start(&launch("own-queue", None, &at)).expect("the broker starts");
-    let signal = |signal: &str| process.signal(signal);
-    assert_none_was_dropped("clients", &crowd_at(&process.listen, b"*1\r\n$4\r\nPING\r\n", signal));
+    let met = crowd_at(&process.listen, b"*1\r\n$4\r\nPING\r\n", |signal| process.signal(signal));
+    assert_none_was_dropped("clients", &met);
+}
+
+/// See `a_crowd_of_clients_loses_no_handshake`.
+#[test]
+fn a_crowd_of_operators_loses_no_handshake() {
+    let (_discovery, at) = Discovery::start("");
+    let process = Process::start(&launch("operators-queue", None, &at)).expect("the broker starts");
     let admin = process.admin.clone().expect("operators' calls");
-    assert_none_was_dropped("operators", &crowd_at(&admin, b"HEALTH\n", signal));
+    let met = crowd_at(&admin, b"HEALTH\n", |signal| process.signal(signal));
+    assert_none_was_dropped("operators", &met);
+}
+
+/// See `a_crowd_of_clients_loses_no_handshake`.
+#[test]
+fn a_crowd_of_nbd_clients_loses_no_handshake() {
+    let (_discovery, at) = Discovery::start("");
     let broker = Broker::start("nbd-queue", &settings(), &at, Some(NBD));
-    assert_none_was_dropped("NBD", &crowd_at(&broker.nbd, b"", |signal| broker.signal(signal)));
+    let met = crowd_at(&broker.nbd, b"", |signal| broker.signal(signal));
+    assert_none_was_dropped("NBD", &met);
 }
 
 /// A broker on an inherited socket before one node, of which processes come and go.
