Ask again what failed for a moment, and let a crowd excuse nothing in the soak

Cause: one EINTR or ENFILE made the broker give up for good on asking the kernel how long requests had waited; the last bytes of a connection that is refused in advance were written once, so that a write that failed for a moment or moved one byte left its client without them. From the code: system calls fail as Linux documents.

Change: only an error that says the system never answers ends the questions; last bytes are written again after a rest, twelve times at most.

--- a/crates/lab/src/fleet/audit.rs
+++ b/crates/lab/src/fleet/audit.rs
@@ -113,8 +113,6 @@
     closed: Mutex<BTreeMap<usize, Vec<(f64, f64)>>>,
     /// Brokers whose listening sockets outlive their processes: no connection to them is ever refused.
     lasting_listeners: Mutex<BTreeSet<usize>>,
-    /// Brokers before which idle connections take all places: what is not read may be closed there.
-    crowded: Mutex<BTreeSet<usize>>,
     /// When brokers were killed outright, under whatever they owed.
     killed: Mutex<BTreeMap<usize, Vec<f64>>>,
 }
@@ -172,11 +170,6 @@
         self.lasting_listeners.lock().expect("lasting listeners").insert(broker);
     }
 
-    /// Idle connections take all places of a broker.
-    pub fn crowded(&self, broker: usize) {
-        self.crowded.lock().expect("crowds").insert(broker);
-    }
-
     /// A broker was killed outright: what it owed then is not its fault.
     pub fn killed(&self, broker: usize, at: f64) {
         self.killed.lock().expect("kills").entry(broker).or_default().push(at);
@@ -222,13 +215,7 @@
         !lasting && self.takes_none_during(record, slack)
     }
 
-    /// Whether a connection may come up and be left unread: nobody accepts, or idle ones take all places.
-    fn may_leave_unread(&self, record: &Record, slack: f64) -> bool {
-        let crowded = self.crowded.lock().expect("crowds").contains(&record.broker);
-        let shut = matches!(record.fate, Fate::Closed { .. });
-        (crowded && shut) || self.takes_none_during(record, slack)
-    }
-
+    /// Whether nobody accepts at that time, so that a connection may come up and be left unread.
     fn takes_none_during(&self, record: &Record, slack: f64) -> bool {
         let closed = self.closed.lock().expect("closed listeners");
         let within = |(from, to): &(f64, f64)| record.ended >= *from - slack && record.sent <= *to + slack;
@@ -289,7 +276,7 @@
                 // What was read all the same is found by `read_and_closed`.
                 Fate::NoConnection if self.may_refuse(record, slack) => {}
                 Fate::Closed { new: true } | Fate::Silent
-                    if tried.is_empty() && self.may_leave_unread(record, slack) => {}
+                    if tried.is_empty() && self.takes_none_during(record, slack) => {}
                 Fate::NoConnection => breach(record.ended, "no connection to a broker that listens"),
                 Fate::Wrong(_) => breach(record.ended, "answer of another request"),
                 Fate::Silent => breach(record.ended, "no answer in its time"),
--- a/src/run/socket_age.rs
+++ b/src/run/socket_age.rs
@@ -3,10 +3,13 @@
 
 use crate::wire::sock_diag::{decode, encode, MOST_BYTES, NETLINK_SOCK_DIAG};
 use socket2::{Domain, Protocol, Socket, Type};
-use std::io::{Read, Result, Write};
+use std::io::{Error, Read, Result, Write};
 use std::time::Duration;
 use tokio::net::TcpStream;
 
+/// How many times a question is put that fails for a moment.
+const TRIES: usize = 3;
+
 /// A socket on which the kernel answers; opened with the first question.
 #[derive(Debug, Default)]
 pub struct SocketAges {
@@ -19,15 +22,20 @@
 impl SocketAges {
     /// How long ago the last data came in on a connection; nothing where the system does not tell.
     pub fn since_data(&mut self, stream: &TcpStream) -> Option<Duration> {
-        if self.unavailable {
-            return None;
-        }
-        let age = self.ask(stream);
-        if let Err(error) = &age {
-            tracing::info!(%error, "the system does not tell how long requests have waited");
-            self.unavailable = true;
+        for _ in 0..TRIES {
+            if self.unavailable {
+                return None;
+            }
+            match self.ask(stream) {
+                Ok(age) => return age,
+                Err(error) if is_refused(&error) => {
+                    tracing::info!(%error, "the system does not tell how long requests have waited");
+                    self.unavailable = true;
+                }
+                Err(error) => tracing::debug!(%error, "asked again how long a request has waited"),
+            }
         }
-        age.ok().flatten()
+        None
     }
 
     fn ask(&mut self, stream: &TcpStream) -> Result<Option<Duration>> {
@@ -47,6 +55,22 @@
     }
 }
 
+/// Whether an error says that this system never answers, not just now.
+fn is_refused(error: &Error) -> bool {
+    let refusals = [
+        libc::EAFNOSUPPORT,
+        libc::EPROTONOSUPPORT,
+        libc::ESOCKTNOSUPPORT,
+        libc::EOPNOTSUPP,
+        libc::EPERM,
+        libc::EACCES,
+        libc::ENOSYS,
+        libc::EINVAL,
+        libc::ENOENT,
+    ];
+    error.raw_os_error().is_some_and(|code| refusals.contains(&code))
+}
+
 fn open() -> Result<Socket> {
     let kind = Type::from(libc::SOCK_RAW);
     let protocol = Protocol::from(NETLINK_SOCK_DIAG);
--- a/src/wire/session.rs
+++ b/src/wire/session.rs
@@ -27,6 +27,8 @@
 const MOST_AHEAD: usize = 1 << 20;
 /// How often it is looked whether a client has closed that has sent more than that.
 const LOOK: Duration = Duration::from_millis(40);
+/// How many times it is tried to write the last bytes of a connection.
+const LAST_TRIES: usize = 12;
 /// Answers of a client that does not read them wait up to this many bytes; then nothing more is taken.
 const MOST_UNREAD: u64 = 64 * 1024;
 /// How long a closing connection is kept for its client to close, so that the answers before its end are not lost to a
@@ -363,14 +365,27 @@
     ways.end(&session, &pace, reason, *phase.borrow());
     if !pace.used && reason.is_own_wish() {
         session.turn_away();
-        // A client that does not take even this much is owed no more.
-        let _ = stream.try_write_vectored(&session.outbox().slices());
+        write_last(&stream, &mut session).await;
     }
     if lingers(reason, pace.used, admission) {
         close(stream).await;
     }
 }
 
+/// Writes a few last bytes. A client that does not take even these is owed no more.
+async fn write_last<W: Wire, S: Session<W>>(stream: &TcpStream, session: &mut S) {
+    for _ in 0..LAST_TRIES {
+        if session.outbox().is_empty() {
+            return;
+        }
+        match stream.try_write_vectored(&session.outbox().slices()) {
+            Ok(n) => session.wrote(n),
+            Err(error) if passes(&error) => tokio::time::sleep(REST).await,
+            Err(_) => return,
+        }
+    }
+}
+
 /// Whether a connection is kept for a moment after its end was said: what crosses the end must not reset away an answer that is
 /// on its way. Where places run out, one that had none or never said a word makes way at once.
 fn lingers(reason: CloseReason, used: bool, admission: Admission) -> bool {
--- a/tests/soak_brokers.rs
+++ b/tests/soak_brokers.rs
@@ -552,7 +552,6 @@
         let kill = told + waits.max(0.5) + AFTER_DEADLINE;
         others.spawn(async move { clients.play(traffic, seed, begin, kill).await });
         if plan.crowd {
-            audit.crowded(number);
             let crowd = tokio::time::timeout(Duration::from_secs_f64(LENGTH), crowd(process.listen.clone()));
             crowds.spawn(async move { drop(crowd.await) });
         }
