Forget that a request had waited once nothing lies on its socket

Cause: what is taken next counts from when it may have come, as long as something lies on the socket unread. A look that fails for want of memory (ENOBUFS, ENOMEM) answers "something lies there", and nobody looked again: the next request on the connection, seconds later, was taken as old as the one before it.

Change: while something counts as waiting, the socket is looked at again before the session waits.

--- a/src/wire/session.rs
+++ b/src/wire/session.rs
@@ -300,6 +300,9 @@
         } else if let Some(since) = not_read_since.take().filter(|_| unread(&stream) == Unread::Bytes) {
             ways.lies_since(since);
         }
+        if read.is_empty() {
+            ways.look_again(&stream);
+        }
         tokio::select! {
             biased;
             Some((id, answer)) = answers.recv() => {
@@ -461,6 +464,13 @@
         }
     }
 
+    /// Nothing has waited any more once nothing lies there: an earlier look may not have told.
+    fn look_again(&self, stream: &TcpStream) {
+        if self.lying.get().is_some() && unread(stream) == Unread::Nothing {
+            self.lying.set(None);
+        }
+    }
+
     /// What is taken next may have waited since then, if not for longer.
     fn lies_since(&self, since: Time) {
         self.lying.set(Some(self.lying.get().map_or(since, |before| before.min(since))));
--- a/tests/accept_queue.rs
+++ b/tests/accept_queue.rs
@@ -386,3 +386,37 @@
     assert!(answer.as_deref().is_some_and(|answer| answer.starts_with("-BUSY")), "{answer:?}");
     assert!(from.elapsed() < Duration::from_millis(WAITS_MS), "{:?}", from.elapsed());
 }
+
+/// Guards against a request that is refused since one before it on its connection had waited, where a look at the socket failed
+/// for want of memory.
+#[test]
+fn a_look_that_fails_makes_no_later_request_old() {
+    const CLIENTS: usize = 20;
+    const RESTS: Duration = Duration::from_millis(1_700);
+    let mut broker = Inherited::new("failed-look");
+    broker.launch.inherited = None;
+    broker.launch.variables = vec![
+        ("LD_PRELOAD".into(), shim().display().to_string()),
+        ("CLAYWINCH_SHIM".into(), "seed=1,from_ms=0,recv=3000".into()),
+    ];
+    let process = broker.start();
+    process.signal("-STOP");
+    let mut clients: Vec<_> = (0..CLIENTS).map(|_| broker.send_waiting(&process, 1_000)).collect();
+    process.signal("-CONT");
+    for client in &mut clients {
+        assert_eq!(line(client).ok().as_deref(), Some("$5"));
+        assert_eq!(line(client).ok().as_deref(), Some("value"));
+    }
+    std::thread::sleep(RESTS);
+    for client in &mut clients {
+        client.write_all(broker.command(1_000).as_bytes()).expect("asks");
+        assert_eq!(line(client).ok().as_deref(), Some("$5"));
+    }
+    assert!(!process.log().contains("rule broken"), "{}", process.log());
+}
+
+/// The library of faults, which is built beside this test.
+fn shim() -> std::path::PathBuf {
+    let own = std::env::current_exe().expect("this test");
+    own.parent().expect("its folder").join("libclaywinch_shim.so")
+}
