End a value that stands still once its client's time is over

What callers saw: no answer and no end by half a second after their time, for a request whose long value had begun and all behind it on the connection.

Cause: when the head of a long value has come its request counts as served; after that only 5 s without a byte from the node ended it, whatever time its client had left.

Change: the pool knows how long the client of a value waits that is passed on. After that, 0.3 s without a byte end it, as for a short reply; before it, and while bytes come, nothing changes. Links tell every 0.1 s in place of 0.5 that a long reply comes on, or the bound would cut off what still comes.

--- a/src/state/planner.rs
+++ b/src/state/planner.rs
@@ -191,6 +191,10 @@
     Whole(LinkId),
 }
 
+/// How long nothing may come of a reply that is passed on once its client's time is over: the client, and those whose answers
+/// stand behind, must see its end before they count as lost.
+const LATE_REPLY_REST: Time = 300_000;
+
 /// How long a body may take to come while it is sent on. Its time counts from its last byte.
 const BODY: Time = 10_000_000;
 
@@ -428,11 +432,12 @@
                 self.ended(now, tag, end);
             }
             Input::Begun(link, tag, end) => {
-                self.pool.set_flowing(link, true);
+                let until = self.attempts.get(&tag).map_or(now, |attempt| attempt.until);
+                self.pool.set_flowing(link, Some(until));
                 self.ended(now, tag, end);
             }
             Input::Free(link) => {
-                self.pool.set_flowing(link, false);
+                self.pool.set_flowing(link, None);
                 if let Some(at) = self.pool.answered(now, link) {
                     self.deadlines.insert(at, Deadline::Idle(link));
                 }
@@ -440,7 +445,7 @@
             Input::Whole(id, due) => self.retime(now, id, due, true),
             Input::LinkUp(link) => self.pool.up(link),
             Input::Partial(link, patience) => {
-                let until = patience.map(|patience| now + patience);
+                let until = patience.map(|patience| self.rest_of_reply_by(now, link, patience));
                 self.pool.set_partial(link, until);
                 if let Some(until) = until {
                     self.deadlines.insert(until, Deadline::Whole(link));
@@ -501,6 +506,13 @@
         }
     }
 
+    /// Until when the next part of a reply is waited for on a link whose node may be silent for this long. Once the client's time
+    /// is over a value that is passed on must not stand still for longer than a short one may.
+    fn rest_of_reply_by(&self, now: Time, link: LinkId, patience: Time) -> Time {
+        let end = self.pool.flows_until(link).map_or(Time::MAX, |due| due.max(now) + LATE_REPLY_REST);
+        end.min(now + patience)
+    }
+
     /// No attempt is waited for beyond this time.
     fn end_by(&mut self, at: Time) {
         for (tag, attempt) in self.attempts.iter_mut().filter(|(_, attempt)| attempt.until > at) {
@@ -567,7 +579,7 @@
         self.ended(now, tag, End::bare(ending));
         let Some(link) = link else { return };
         effects.push(Effect::Withdraw(link, tag));
-        if self.pool.is_flowing(link) {
+        if self.pool.flows_until(link).is_some() {
             // A reply before it is still passed on. Its request has no further attempt: its time is over.
             return;
         }
--- a/src/state/pool.rs
+++ b/src/state/pool.rs
@@ -42,8 +42,9 @@
     idle_since: Option<Time>,
     /// Until when the next part is waited for of a reply that is not whole.
     partial: Option<Time>,
-    /// A reply is passed on while it comes: no request is put behind it, which would wait for that client.
-    flowing: bool,
+    /// A reply is passed on while it comes, and its client waits so long: no request is put behind it, which would wait for that
+    /// client.
+    flows_until: Option<Time>,
     up: bool,
 }
 
@@ -144,8 +145,15 @@
                 let id = self.next;
                 self.next += 1;
                 ids.push(id);
-                let link =
-                    Link { node, lane, out: 1, idle_since: None, partial: None, flowing: false, up: false };
+                let link = Link {
+                    node,
+                    lane,
+                    out: 1,
+                    idle_since: None,
+                    partial: None,
+                    flows_until: None,
+                    up: false,
+                };
                 links.insert(id, link);
                 let Some(Some(over)) = over else { return Pick::Open(id) };
                 self.remove(now, over, false);
@@ -153,7 +161,7 @@
             }
         }
         let fits = |id: &LinkId| match sharing {
-            Sharing::Answers => !links[id].flowing,
+            Sharing::Answers => links[id].flows_until.is_none(),
             Sharing::Nothing => quiet(&links[id]).is_some_and(|since| now - since >= LEAST_REST),
         };
         let least =
@@ -196,16 +204,16 @@
         self.links.get(&id)?.idle_since.map(|since| since + self.limits.terms.idle)
     }
 
-    /// Notes that a reply is passed on while it comes, or no longer.
-    pub fn set_flowing(&mut self, id: LinkId, flowing: bool) {
+    /// Notes that a reply is passed on while it comes, and how long its client waits, or that none is.
+    pub fn set_flowing(&mut self, id: LinkId, until: Option<Time>) {
         if let Some(link) = self.links.get_mut(&id) {
-            link.flowing = flowing;
+            link.flows_until = until;
         }
     }
 
-    /// Whether a reply is passed on while it comes.
-    pub fn is_flowing(&self, id: LinkId) -> bool {
-        self.links.get(&id).is_some_and(|l| l.flowing)
+    /// How long the client waits of a reply that is passed on while it comes, if one is.
+    pub fn flows_until(&self, id: LinkId) -> Option<Time> {
+        self.links.get(&id).and_then(|l| l.flows_until)
     }
 
     /// Notes until when the next part of a reply is waited for, or that none is.
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -28,8 +28,8 @@
 
 /// How long nothing may come of a reply that has begun: nodes stand still between replies, not within.
 pub const WHOLE: Time = 300_000;
-/// How often a reply that comes in parts is told to come on.
-const COMING: Time = 500_000;
+/// How often a long reply that comes in parts is told to come on.
+const COMING: Time = 100_000;
 
 /// Something to wait for that holds nothing of whoever waits.
 pub type Stir = Pin<Box<dyn Future<Output = ()>>>;
@@ -411,7 +411,7 @@
         let told = unread.told.map(|(patience, _)| patience);
         let lately = unread.told.is_some_and(|(_, at)| now - at < COMING);
         // Of a short reply each part is told; of a long one, now and then.
-        if told != patience || (patience.is_some() && !(lately && patience > Some(COMING))) {
+        if told != patience || (patience.is_some() && !(lately && patience > Some(WHOLE))) {
             unread.told = patience.map(|patience| (patience, now));
             let _ = self.planner.send(Input::Partial(self.id, patience));
         }
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -253,6 +253,8 @@
     Break,
     /// It begins its reply and closes.
     CutShort,
+    /// It begins a long value and says nothing more until the connection ends.
+    StandStill,
     /// It reads the request and says nothing until the connection ends.
     Hang,
 }
@@ -424,6 +426,11 @@
             }
             Manner::TurnAway => stream.write_all(b"-BUSY\r\n")?,
             Manner::Break => return Ok(()),
+            Manner::StandStill => {
+                stream.write_all(b"*3\r\n$200000\r\n")?;
+                stream.write_all(&[b'v'; 10_000])?;
+                return stream.read(&mut [0]).map(|_| ());
+            }
             Manner::CutShort => return stream.write_all(b"*3\r\n$5\r\nval"),
             Manner::Hang => return stream.read(&mut [0]).map(|_| ()),
         }
@@ -485,6 +492,11 @@
                 }
                 // An answer here has a cookie: a second one cannot be taken for another.
                 Manner::Break | Manner::Twice => return Ok(()),
+                Manner::StandStill => {
+                    stream.write_all(b"*3\r\n$200000\r\n")?;
+                    stream.write_all(&[b'v'; 10_000])?;
+                    return stream.read(&mut [0]).map(|_| ());
+                }
                 Manner::CutShort => return stream.write_all(&chunk(0, 1, &first)),
                 Manner::Hang => return stream.read(&mut [0]).map(|_| ()),
                 Manner::Serve if command == 0 => {
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -3,9 +3,10 @@
 mod common;
 
 use common::net::*;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::time::{Duration, Instant};
 
 const SETTINGS: &str = r#"{"balancers":1,
     "bounds":{"most_tries":4,"second_copies":false,"cancel":true,"probes":false,"retry_after":true,
@@ -506,3 +507,33 @@
     stream.write_all(resp_command(false).as_bytes()).expect("asks");
     assert_eq!((resp_verdict(&mut stream), nbd.ask(false, 1)), (Refused, vec![Served]));
 }
+
+/// Guards against a client that is held on beyond its time by a value whose node stands still in the middle of it, and those whose
+/// answers stand behind it.
+#[test]
+fn a_value_that_stands_still_ends_with_its_clients_time() {
+    const WAITS: Duration = Duration::from_secs(2);
+    const LOST: Duration = Duration::from_millis(500);
+    let (broker, mut resp, _nbd) = rigs("stands-still");
+    assert_eq!(resp.ask(false, 1), [Served]);
+    resp.script().lock().unwrap().next = vec![Manner::StandStill];
+    let mut alone = connect(&broker.listen);
+    let from = Instant::now();
+    alone.write_all(resp_command(false).as_bytes()).unwrap();
+    let mut value = Vec::new();
+    alone.read_to_end(&mut value).expect("the end, which tells that it is not whole");
+    println!("{} bytes, ended after {:?}", value.len(), from.elapsed());
+    assert!(from.elapsed() > WAITS && from.elapsed() < WAITS + LOST, "{:?}", from.elapsed());
+    resp.script().lock().unwrap().next = vec![Manner::StandStill];
+    let from = Instant::now();
+    let mut several = connect(&broker.listen);
+    let commands = [resp_command(false), resp_command(false), "*1\r\n$4\r\nQUIT\r\n".to_string()];
+    several.write_all(commands.concat().as_bytes()).unwrap();
+    let mut answers = String::new();
+    several.read_to_string(&mut answers).expect("all answers");
+    println!("all answered after {:?}", from.elapsed());
+    assert!(from.elapsed() < WAITS + LOST, "{:?}", from.elapsed());
+    // Either may have come to the node first.
+    assert!(answers.contains("-ERR failed\r\n") && answers.contains("$5\r\nvalue\r\n"), "{answers}");
+    assert!(answers.ends_with("+OK\r\n"), "{answers}");
+}
