Note at the stand-ins when bytes came and which answer went out on which connection

Need: two reds of the soak were read without a trace: "answer of another request" and four requests "told more than its client has left", which all lay before the same server within 0.05 s.

Change: the stand-in asks the kernel how old the first bytes of a request are when it reads them: an attempt begins when they came, and its line says when they were read, too. It notes each answer, second ones too, with the time before and behind the write and the port of the connection. The line of a wrong answer says whose value it was, and what was seen and written of both requests.

What the broker is held to is unchanged; only the server's own share is told apart, request by request, by the kernel's count.

--- a/crates/lab/src/fleet/audit.rs
+++ b/crates/lab/src/fleet/audit.rs
@@ -10,10 +10,14 @@
 pub struct Attempt {
     /// When its last byte was read, in seconds of the run.
     pub at: f64,
-    /// When its first byte was read.
+    /// When its first bytes came, by the kernel's count where the server read them late.
     pub begun: f64,
+    /// When the server read them.
+    pub read: f64,
     /// The server.
     pub server: usize,
+    /// The broker's port of the connection.
+    pub port: u16,
     /// How long the server was told that its answer is waited for, in milliseconds.
     pub told_ms: i64,
     /// Units of the request.
@@ -24,6 +28,19 @@
     pub spoilt: bool,
 }
 
+/// An answer as a server wrote it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Written {
+    /// When the server began to write it, and when the kernel had all of it, in seconds of the run.
+    pub span: (f64, f64),
+    /// The server.
+    pub server: usize,
+    /// The broker's port of the connection.
+    pub port: u16,
+    /// It has been written before.
+    pub again: bool,
+}
+
 /// What became of a request, as its client saw it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Fate {
@@ -88,6 +105,8 @@
 const TOLD_SLACK: f64 = 0.15;
 /// How long after a kill its clients have seen it.
 const KILL_SEEN: f64 = 0.2;
+/// Letters of a request's id, with which its value begins.
+const ID_LENGTH: usize = 16;
 /// How late a request's own answer may come before it counts as none.
 const LATE: f64 = 0.5;
 
@@ -104,6 +123,7 @@
 #[derive(Debug, Default)]
 pub struct Audit {
     attempts: Mutex<BTreeMap<String, Vec<Attempt>>>,
+    answers: Mutex<BTreeMap<String, Vec<Written>>>,
     records: Mutex<BTreeMap<String, Record>>,
     starts: Mutex<BTreeMap<usize, Vec<ColdStart>>>,
     /// From when on nothing may be sent to servers that drain.
@@ -144,6 +164,28 @@
         self.attempts.lock().expect("attempts").entry(id.to_string()).or_default().push(attempt);
     }
 
+    /// The attempts of a request that servers have seen, in their order.
+    pub fn attempts_of(&self, id: &str) -> Vec<Attempt> {
+        self.attempts.lock().expect("attempts").get(id).cloned().unwrap_or_default()
+    }
+
+    /// A server has written an answer.
+    pub fn answered(&self, id: &str, written: Written) {
+        self.answers.lock().expect("answers").entry(id.to_string()).or_default().push(written);
+    }
+
+    /// Whose value a client was given in the place of its own, and by which way: what servers saw and wrote of both requests.
+    fn way_of(&self, id: &str, value: &str, attempts: &BTreeMap<String, Vec<Attempt>>) -> String {
+        let answers = self.answers.lock().expect("answers");
+        let other = value.get(..ID_LENGTH).unwrap_or(value);
+        format!(
+            "its own answers {:?}; of {other}: attempts {:?}, answers {:?}",
+            answers.get(id).unwrap_or(&Vec::new()),
+            attempts.get(other).unwrap_or(&Vec::new()),
+            answers.get(other).unwrap_or(&Vec::new()),
+        )
+    }
+
     /// Whether a server has seen an attempt of a request.
     pub fn was_tried(&self, id: &str) -> bool {
         self.attempts.lock().expect("attempts").contains_key(id)
@@ -278,7 +320,10 @@
                 Fate::Closed { new: true } | Fate::Silent
                     if tried.is_empty() && self.takes_none_during(record, slack) => {}
                 Fate::NoConnection => breach(record.ended, "no connection to a broker that listens"),
-                Fate::Wrong(_) => breach(record.ended, "answer of another request"),
+                Fate::Wrong(value) => {
+                    let way = self.way_of(id, value, &attempts);
+                    breach(record.ended, &format!("answer of another request: {way}"));
+                }
                 Fate::Silent => breach(record.ended, "no answer in its time"),
                 Fate::Closed { new: true } => {
                     breach(record.ended, "closed without an answer, new connection")
