Let links rest beyond a node's stall once a node has answered twice

The test failed before: "first" was given for "value", 29 ms after a value that its node said again after 20 ms.

Cause: a reply does not say what it answers, and a link was taken again 20 ms after its last one, by the broker's clock. A node that stands still between both answers is not bound by that clock; the rest that grew with this process's own lateness knows nothing of the node's.

Evidence: the stand-in that answers, stands still for 0 to 200 ms, answers again and only then reads on. Red from the first step beyond the rest, at that step, with nothing else wrong in the broker.

Why the fix works: a second answer comes only from a node that answers twice. The first one that is seen on a resting link is taken as proof; from then on and for a minute no link of any node is used again within 0.25 s, also where no further one may be opened. 0.2 s of standing still are then covered.

Open: the very first second answer that a process meets, where its node stands still for over 20 ms.

--- a/src/state/planner.rs
+++ b/src/state/planner.rs
@@ -114,6 +114,8 @@
 pub enum Down {
     /// It was up.
     Ended,
+    /// It was up, and its node gave an answer that nothing had asked for: a second one to an earlier request.
+    Repeated,
     /// It never came up.
     Never,
     /// This machine could not open it, which says nothing about the node.
@@ -453,8 +455,10 @@
             }
             Input::LinkDown(link, down) => {
                 self.pool.remove(now, link, down == Down::Never);
-                if down == Down::Here {
-                    self.pool.spent(now);
+                match down {
+                    Down::Here => self.pool.spent(now),
+                    Down::Repeated => self.pool.note_repeated_answer(now),
+                    Down::Ended | Down::Never => {}
                 }
             }
             Input::Suspended(suspended) => {
--- a/src/state/pool.rs
+++ b/src/state/pool.rs
@@ -86,6 +86,11 @@
 /// For each microsecond that this process ran late lately a link rests so many longer: on a busy machine both the node that
 /// sends a second answer and whoever reads it are held up, one after the other.
 const REST_FOR_LATENESS: Time = 8;
+/// How long links rest where nodes are known to answer twice, in microseconds: a node may stand still for 0.2 s between both
+/// answers, and what it then says must not be taken for the reply to a request that was written meanwhile.
+const REST_AMONG_REPEATS: Time = 250_000;
+/// For how long nodes are known to answer twice after one of them did, in microseconds.
+const REPEATS_MEMORY: Time = 60_000_000;
 /// For how long a connection that this machine could not open is taken as all that it can hold.
 const OWN_CAP_MEMORY: Time = 200_000;
 /// For how long a refused connect, while others are up, is taken as the node's cap on connections.
@@ -104,6 +109,8 @@
     own_cap: Option<Cap>,
     /// How long links rest after a reply, while there are others.
     rest: Time,
+    /// Until when nodes are known to answer twice, if one did.
+    repeats_until: Option<Time>,
     next: LinkId,
 }
 
@@ -118,6 +125,7 @@
             idle: BTreeSet::new(),
             own_cap: None,
             rest: LEAST_REST,
+            repeats_until: None,
             next: 0,
         }
     }
@@ -128,11 +136,14 @@
     /// Only where answers name what they answer may attempts share a link: else the second answer to one would be taken
     /// for the answer to the next.
     pub fn pick(&mut self, now: Time, node: NodeId, lane: Lane, sharing: Sharing) -> Pick {
+        let repeats = self.repeats_until.is_some_and(|until| until > now);
+        let (rest, least_rest) =
+            if repeats { (REST_AMONG_REPEATS, REST_AMONG_REPEATS) } else { (self.rest, LEAST_REST) };
         let ids = self.by_node.entry((node, lane)).or_default();
         let links = &mut self.links;
         // Nor is one taken on which something has come that nobody asked for.
         let quiet = |link: &Link| link.partial.is_none().then_some(link.idle_since).flatten();
-        let settled = |id: &LinkId| quiet(&links[id]).is_some_and(|since| now - since >= self.rest);
+        let settled = |id: &LinkId| quiet(&links[id]).is_some_and(|since| now - since >= rest);
         let idle = ids.iter().copied().filter(settled).max_by_key(|id| links[id].idle_since);
         let cap = self.caps.get(&node).filter(|c| c.until > now).map_or(usize::MAX, |c| c.links);
         let own_cap = self.own_cap.filter(|c| c.until > now).map_or(usize::MAX, |c| c.links);
@@ -162,7 +173,7 @@
         }
         let fits = |id: &LinkId| match sharing {
             Sharing::Answers => links[id].flows_until.is_none(),
-            Sharing::Nothing => quiet(&links[id]).is_some_and(|since| now - since >= LEAST_REST),
+            Sharing::Nothing => quiet(&links[id]).is_some_and(|since| now - since >= least_rest),
         };
         let least =
             || ids.iter().copied().filter(fits).min_by_key(|id| (links[id].out, links[id].idle_since));
@@ -280,6 +291,11 @@
         lanes.flat_map(|(_, ids)| ids).copied().filter(|id| fits(&self.links[id])).collect()
     }
 
+    /// Takes note that a node has answered twice. Whether another second answer is on its way nobody can tell, on none of the links.
+    pub fn note_repeated_answer(&mut self, now: Time) {
+        self.repeats_until = Some(now + REPEATS_MEMORY);
+    }
+
     /// Takes note of how late this process has run lately.
     pub fn note_lateness(&mut self, late: Time) {
         self.rest = LEAST_REST.saturating_add(late.max(0).saturating_mul(REST_FOR_LATENESS)).min(MOST_REST);
--- a/src/state/pool/tests.rs
+++ b/src/state/pool/tests.rs
@@ -111,3 +111,19 @@
         assert!(matches!(pool.pick(1_000 + rest, 7, 0, Sharing::Nothing), Pick::Use(_)));
     }
 }
+
+/// Guards against a second answer of a node that stood still before it: once one node has answered twice, no link of any node is
+/// used again before such an answer would have come, also where no further link may be opened.
+#[test]
+fn links_rest_for_longer_where_nodes_are_known_to_answer_twice() {
+    let mut pool = pool(9, 4);
+    let pick = |pool: &mut Pool, now| pool.pick(now, 7, 0, Sharing::Nothing);
+    assert_eq!([0; 3].map(|_| pick(&mut pool, 0)), [Pick::Open(0), Pick::Open(1), Pick::Open(2)]);
+    pool.note_repeated_answer(0);
+    pool.answered(1_000, 1);
+    assert_eq!(pick(&mut pool, 1_000 + REST_AMONG_REPEATS - 1), Pick::Full);
+    assert_eq!(pick(&mut pool, 1_000 + REST_AMONG_REPEATS), Pick::Use(1));
+    pool.answered(REPEATS_MEMORY - 1 - LEAST_REST, 1);
+    assert_eq!(pick(&mut pool, REPEATS_MEMORY - 1), Pick::Full, "still known");
+    assert_eq!(pick(&mut pool, REPEATS_MEMORY), Pick::Use(1), "none for a long time");
+}
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -26,6 +26,9 @@
 #[error("{0}")]
 pub struct Broken(pub &'static str);
 
+/// A whole reply came while nothing was out.
+pub const UNASKED: Broken = Broken("a reply that nothing asked for");
+
 /// How long nothing may come of a reply that has begun: nodes stand still between replies, not within.
 pub const WHOLE: Time = 300_000;
 /// How often a long reply that comes in parts is told to come on.
@@ -207,12 +210,15 @@
                 down
             }
             Some(Ok(stream)) => {
+                let port = stream.local_addr().map_or(0, |address| address.port());
+                tracing::debug!(link = self.id, address = self.address, port, "link up");
                 let _ = self.planner.send(Input::LinkUp(self.id));
-                match self.carry(stream).await {
-                    None => return,
-                    Some(reason) => tracing::debug!(link = self.id, reason, "link ended"),
+                let Some(reason) = self.carry(stream).await else { return };
+                tracing::debug!(link = self.id, reason, "link ended");
+                match reason == UNASKED.0 {
+                    true => Down::Repeated,
+                    false => Down::Ended,
                 }
-                Down::Ended
             }
         };
         // Orders that crossed the end were never written. A node that closes an idle connection is not out of reach.
@@ -223,7 +229,7 @@
         let never = match down {
             Down::Never => Ending::Unreachable,
             Down::Here => Ending::NoLink,
-            Down::Ended => Ending::NotSent,
+            Down::Ended | Down::Repeated => Ending::NotSent,
         };
         for (tag, ..) in std::mem::take(&mut self.queue) {
             let _ = self.planner.send(Input::Ended(self.id, tag, End::bare(never)));
--- a/src/wire/resp/client.rs
+++ b/src/wire/resp/client.rs
@@ -5,7 +5,7 @@
 use crate::state::pipe::{pipe, Course, Giver, WINDOW};
 use crate::state::planner::{End, Tag};
 use crate::state::room::Room;
-use crate::wire::link::{broken_at, either, Ended, Exchange, Flow, Stir, WHOLE};
+use crate::wire::link::{broken_at, either, Ended, Exchange, Flow, Stir, UNASKED, WHOLE};
 use std::collections::VecDeque;
 
 /// How long nothing may come of a long reply while its client reads on.
@@ -128,7 +128,7 @@
                 return Ok(());
             }
             if let Some((items, left)) = decode_long(read) {
-                let (tag, _, sent) = self.out.pop_front().ok_or(Broken("a reply that nothing asked for"))?;
+                let (tag, _, sent) = self.out.pop_front().ok_or(UNASKED)?;
                 if sent == NOWHERE {
                     return Err(Broken("a reply before the request was whole"));
                 }
@@ -144,7 +144,7 @@
                 return if unasked { Err(Broken("bytes that nothing asked for")) } else { Ok(()) };
             };
             let end = ending_of(value)?;
-            let (tag, _, sent) = self.out.pop_front().ok_or(Broken("a reply that nothing asked for"))?;
+            let (tag, _, sent) = self.out.pop_front().ok_or(UNASKED)?;
             ended.push((tag, end));
             if sent == NOWHERE {
                 // What is left of the body would be taken for the next command.
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -249,6 +249,8 @@
     TurnAway,
     /// It serves, and says the same again as soon as the next request has come, or after 15 ms.
     Twice,
+    /// It serves, stands still for so many milliseconds, and says the same again before it reads on.
+    TwiceAfter(u64),
     /// It reads the request and closes.
     Break,
     /// It begins its reply and closes.
@@ -424,6 +426,11 @@
                 stream.set_read_timeout(None)?;
                 stream.write_all(b"*3\r\n$5\r\nfirst\r\n$-1\r\n$-1\r\n")?;
             }
+            Manner::TwiceAfter(rest) => {
+                stream.write_all(b"*3\r\n$5\r\nfirst\r\n$-1\r\n$-1\r\n")?;
+                thread::sleep(Duration::from_millis(rest));
+                stream.write_all(b"*3\r\n$5\r\nfirst\r\n$-1\r\n$-1\r\n")?;
+            }
             Manner::TurnAway => stream.write_all(b"-BUSY\r\n")?,
             Manner::Break => return Ok(()),
             Manner::StandStill => {
@@ -491,7 +498,7 @@
                     stream.write_all(&chunk(1, 0x8001, &text))?;
                 }
                 // An answer here has a cookie: a second one cannot be taken for another.
-                Manner::Break | Manner::Twice => return Ok(()),
+                Manner::Break | Manner::Twice | Manner::TwiceAfter(_) => return Ok(()),
                 Manner::StandStill => {
                     stream.write_all(b"*3\r\n$200000\r\n")?;
                     stream.write_all(&[b'v'; 10_000])?;
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -202,6 +202,30 @@
     }
 }
 
+/// Guards against a second answer of a node that stood still before it, however long, and is then served as the answer to a request
+/// that was written meanwhile.
+#[test]
+fn a_second_answer_of_a_node_that_stood_still_is_nobodys_answer() {
+    let (script, address) = resp_node();
+    let (_discovery, at) = Discovery::start(&member(&address));
+    let broker = Broker::start("stood-still", &settings(true), &at, None);
+    until("the node is there", || ask(&broker, "read") == "$5");
+    for rest in (0..=200).step_by(20) {
+        script.lock().expect("the script").next = vec![Manner::TwiceAfter(rest)];
+        let mut client = connect(&broker.listen);
+        let from = Instant::now();
+        let mut expected = "first";
+        // At every moment until after the second answer there is a request that would be taken for what it answers.
+        while from.elapsed() < Duration::from_millis(rest + 60) {
+            client.write_all(command("save").as_bytes()).expect("asks");
+            let value = bulk(&mut client).expect("an answer");
+            let value = String::from_utf8_lossy(&value);
+            assert_eq!(value, expected, "{:?} after one that is said again after {rest} ms", from.elapsed());
+            expected = "value";
+        }
+    }
+}
+
 /// Guards against a repeat that begins after its class's window because its connection came up late: the window counts at
 /// the write. The node drops repeats only inside it.
 #[test]
