Count a client's close from when its connection was last seen open, not from the stall before

The test failed before: "rule broken violation=BegunAfterClose by_us=206971" for a client that left after its request was at the node. No request was lost.

Cause: the guard's own account. What is read after a stall may have come at its beginning, and the close counted so until the next beat on time, 4 ms later, although the session had read again behind the request and found nothing.

Forced: a process stands still for 0.2 s over a request, its client leaves as soon as the node has it: red in the first round before, ten rounds green now.

Why the fix works: a read that finds neither bytes nor the end says that the client had not closed by then; the close counts from the later of both. The rule and its 0.1 s are as they were. The debug line of a close says both times.

--- a/src/wire/session.rs
+++ b/src/wire/session.rs
@@ -13,6 +13,7 @@
 use crate::wire::socket::{is_short_of_memory, passes, unread, Unread, REST};
 use bytes::BytesMut;
 use std::cell::Cell;
+use std::io::ErrorKind;
 use std::time::Duration;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
@@ -108,8 +109,8 @@
     fn hurry(&mut self);
     /// The broker stops: says so, where the protocol has words for it.
     fn stop(&mut self) {}
-    /// The connection ends before a command has come: refuses the first one, where the protocol has words for it, since it may
-    /// be on its way.
+    /// The connection ends before a command has come: refuses the first ones, where the protocol has words for it, since a client
+    /// may have sent several at once that are on their way.
     fn turn_away(&mut self) {}
 }
 
@@ -224,7 +225,8 @@
     // Since when nothing was read.
     let mut not_read_since = None;
     let lying = (unread(&stream) == Unread::Bytes).then_some(arrived);
-    let ways = Ways { planner, guard, back, pulse, admission, lying: Cell::new(lying) };
+    let seen_open = Cell::new(Time::MIN);
+    let ways = Ways { planner, guard, back, pulse, admission, lying: Cell::new(lying), seen_open };
     let _ = stream.set_nodelay(true);
     let reason = loop {
         session.fill();
@@ -335,7 +337,10 @@
                         tokio::time::sleep(REST).await;
                         continue;
                     }
-                    Err(e) if passes(&e) => continue,
+                    Err(e) if passes(&e) => {
+                        ways.found_nothing(&e);
+                        continue;
+                    }
                     Err(_) => break CloseReason::ClientGone,
                 }
                 match open {
@@ -436,6 +441,8 @@
     admission: Admission,
     /// Since when what is taken next may have waited, in the socket or in what was read ahead; nothing if it has just come.
     lying: Cell<Option<Time>>,
+    /// When a read last found neither bytes nor the client's end.
+    seen_open: Cell<Time>,
 }
 
 impl<W: Wire> Ways<W> {
@@ -448,15 +455,27 @@
     /// A connection ends: what it owes is nobody's any more.
     fn end<S: Session<W>>(&self, session: &S, pace: &Pace, reason: CloseReason, phase: Phase) {
         let owed = session.owed();
-        // The client may have closed it at the beginning of a stall.
-        self.guard.close(&owed, self.pulse.came(), reason);
+        // The client may have closed it at the beginning of a stall, but not before it was last seen open.
+        let closed = self.pulse.came().max(self.seen_open.get());
+        self.guard.close(&owed, closed, reason);
         match reason {
             CloseReason::NotRead | CloseReason::BrokenValue if !owed.is_empty() => {
                 tracing::warn!(?reason, ?owed, "client closed under what it is owed");
             }
             _ => {
-                let open_us = self.pulse.now() - pace.accepted;
-                tracing::debug!(?reason, ?owed, used = pace.used, open_us, ?phase, "client closed");
+                let now = self.pulse.now();
+                let (open_us, since_us, stalled_us) =
+                    (now - pace.accepted, now - closed, now - self.pulse.came());
+                tracing::debug!(
+                    ?reason,
+                    ?owed,
+                    used = pace.used,
+                    open_us,
+                    since_us,
+                    stalled_us,
+                    ?phase,
+                    "client closed"
+                );
             }
         }
         for id in owed {
@@ -464,6 +483,13 @@
         }
     }
 
+    /// A read of the client's connection has found neither bytes nor its end, if that is what the error says.
+    fn found_nothing(&self, error: &std::io::Error) {
+        if error.kind() == ErrorKind::WouldBlock {
+            self.seen_open.set(self.pulse.now());
+        }
+    }
+
     /// Nothing has waited any more once nothing lies there: an earlier look may not have told.
     fn look_again(&self, stream: &TcpStream) {
         if self.lying.get().is_some() && unread(stream) == Unread::Nothing {
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -143,6 +143,40 @@
     }
 }
 
+/// Guards against a rule that is counted as broken though it holds: a client that leaves right after the process stood still had not
+/// left before its request was read and found nothing behind it.
+#[test]
+fn a_client_that_leaves_right_after_a_stall_has_not_left_before_it() {
+    const STALL: Duration = Duration::from_millis(200);
+    let (script, address) = resp_node();
+    let (_discovery, at) = Discovery::start(&member(&address));
+    let broker = Broker::start("stall", &settings(true), &at, None);
+    until("the node is there", || ask(&broker, "read") == "$5");
+    let seen = || script.lock().expect("the script").seen;
+    for round in 0..10 {
+        let mut client = connect(&broker.listen);
+        client.write_all(command("read").as_bytes()).expect("asks");
+        assert_eq!(bulk(&mut client).expect("an answer"), b"value");
+        script.lock().expect("the script").next = vec![Manner::Hang];
+        let before = seen();
+        broker.signal("-STOP");
+        client.write_all(command("read").as_bytes()).expect("asks");
+        thread::sleep(STALL);
+        thread::scope(|scope| {
+            scope.spawn(|| broker.signal("-CONT"));
+            // It leaves as soon as the node has its request.
+            let from = Instant::now();
+            while seen() == before && from.elapsed() < PATIENCE {
+                thread::yield_now();
+            }
+            drop(client);
+        });
+        assert_eq!(seen(), before + 1, "round {round}");
+        thread::sleep(Duration::from_millis(20));
+        assert!(!broker.log().contains("rule broken"), "round {round}");
+    }
+}
+
 /// Guards against hundreds that leave at once, of whom some are still sent on for.
 #[test]
 fn a_burst_of_closes_leaves_nothing_to_send() {
