Wait for the rest of commands sent at once before a connection is sent away

The test failed before: fourteen commands on a new connection of a broker that is emptied, the last nine held back for 4 ms on the way: five answers, then the end.

Cause: a connection in use is closed right behind its next answer, since that crosses nothing. That is so of one command at a time, not of the rest of several that the way has cut apart.

The layer is the session.

Why the fix works: behind a read that brought several requests, or on a connection that was made less than 0.1 s ago, the rest is waited for, 0.1 s from the last read on, before the broker ends the connection by its own wish; the last moment for answers stays. At a full front, where all are refused, so is what has not come: in advance.

--- a/src/wire/session.rs
+++ b/src/wire/session.rs
@@ -43,6 +43,8 @@
 /// How long the first command may take from the moment of connecting: a client that sends nothing of use is
 /// told or sent away within 3 s.
 const FIRST_COMMAND: Time = 2_800_000;
+/// How long the rest may take to come of several commands that a client has sent at once: the way may cut them apart anywhere.
+const REST_OF_BATCH: Time = 100_000;
 /// How long the first command may take where it is only refused.
 const REFUSED_PATIENCE: Time = 100_000;
 /// How long a client may leave its answers unread: no request waits longer.
@@ -164,17 +166,22 @@
     begun: Option<Time>,
     /// When answers that wait to be written last began to wait, or moved.
     moved: Option<Time>,
+    /// Until when the rest may come of what its client has sent at once, if it may have sent several commands.
+    batch_until: Option<Time>,
 }
 
 impl Pace {
     fn new(now: Time) -> Self {
-        Pace { accepted: now, used: false, since: now, begun: None, moved: None }
+        Pace { accepted: now, used: false, since: now, begun: None, moved: None, batch_until: None }
     }
 
-    /// Takes note of what a read left of the buffer.
-    fn read(&mut self, now: Time, before: usize, after: usize) {
+    /// Takes note of what a read left of the buffer, and of how many requests it brought.
+    fn read(&mut self, now: Time, before: usize, after: usize, requests: usize) {
         if after < before {
             (self.used, self.since, self.begun) = (true, now, None);
+            // On one that has just been made, what comes first may be the beginning of several.
+            let several = requests > 1 || now < self.accepted + REST_OF_BATCH;
+            self.batch_until = several.then_some(now + REST_OF_BATCH);
         }
         if after > 0 && self.begun.is_none() {
             self.begun = Some(now);
@@ -245,6 +252,9 @@
         let stands = *phase.borrow();
         let closes =
             admission.closes_at(stands, pace.since, pace.used).filter(|_| idle && pace.begun.is_none());
+        // So is the rest of several that were sent at once. Where all are refused, so is what has not come.
+        let batch = pace.batch_until.filter(|at| idle && *at > now && admission == Admission::Served);
+        let closes = closes.map(|at| at.max(batch.unwrap_or(at)));
         // Half a command is not waited for beyond the last moment at which its answer could be given.
         let ends = stands.ends_at().filter(|_| idle);
         let deaf = stands.deaf_at().filter(|_| !idle);
@@ -258,7 +268,7 @@
         if over && waiting {
             break CloseReason::NotRead;
         }
-        let wanted = seat.is_called() || is_over(closes) || is_over(ends);
+        let wanted = (seat.is_called() && batch.is_none()) || is_over(closes) || is_over(ends);
         if idle && session.ending() {
             break CloseReason::Ended;
         }
@@ -289,7 +299,7 @@
                 };
             }
         }
-        let wakes = [deadline, closes, ends, deaf].into_iter().flatten();
+        let wakes = [deadline, closes, ends, deaf, batch].into_iter().flatten();
         seat.set_deadline(wakes.filter(|at| *at > now).min());
         let stirred = session.stirred();
         // One that has gone must be seen whatever else it is owed. What will not be answered is not read at all.
@@ -371,7 +381,8 @@
         }
     };
     ways.end(&session, &pace, reason, *phase.borrow());
-    if !pace.used && reason.is_own_wish() {
+    let refuses = !pace.used || admission == Admission::Refused;
+    if refuses && reason.is_own_wish() {
         session.turn_away();
         write_last(&stream, &mut session).await;
     }
@@ -513,7 +524,7 @@
             lying.is_some() && ((session.full() && !read.is_empty()) || unread(stream) == Unread::Bytes)
         };
         self.lying.set(lying.filter(|_| rests(lying)));
-        pace.read(self.pulse.now(), before, read.len());
+        pace.read(self.pulse.now(), before, read.len(), asks.len());
         if read.is_empty() {
             // A client that is idle must not pin the buffer of its last command.
             *read = BytesMut::new();
--- a/src/wire/session/tests.rs
+++ b/src/wire/session/tests.rs
@@ -9,16 +9,16 @@
     assert!((12 * S..13 * S).contains(&silent), "{silent}");
     // It drips its first command: the time is not drawn out.
     for (at, before, after) in [(11 * S, 0, 1), (12 * S, 1, 2)] {
-        pace.read(at, after, after.max(before));
+        pace.read(at, after, after.max(before), 0);
     }
     let dripping = pace.deadline(12 * S, true, false).expect("a deadline");
     assert!(dripping < 13 * S, "{dripping}");
-    pace.read(12 * S, 3, 0);
+    pace.read(12 * S, 3, 0, 1);
     assert_eq!(pace.deadline(12 * S, false, false), None, "never while a request is open");
     pace.wrote(20 * S);
     assert!(pace.deadline(20 * S, true, false) >= Some(22 * S));
     // The next command begins late and is waited for.
-    pace.read(22 * S, 1, 1);
+    pace.read(22 * S, 1, 1, 0);
     assert!(pace.deadline(22 * S, true, false) >= Some(24 * S));
 }
 
--- a/tests/accept_queue.rs
+++ b/tests/accept_queue.rs
@@ -405,6 +405,30 @@
     }
 }
 
+/// Guards against a connection that ends behind the answers to the first of several commands sent at once, while the others are still
+/// on their way: on a connection that is made while the broker is emptied, with the rest held back for some milliseconds.
+#[test]
+fn the_rest_of_commands_sent_at_once_is_answered_while_a_broker_is_emptied() {
+    const AT_ONCE: usize = 14;
+    const FIRST: usize = 5;
+    let mut broker = Inherited::new("rest-of-batch");
+    broker.launch.inherited = None;
+    let process = broker.start();
+    process.call("LEAVE").expect("a yes");
+    for held_back_ms in (0..=40).step_by(4) {
+        let mut client = connect(&process.listen);
+        for count in [FIRST, AT_ONCE - FIRST] {
+            let commands: String = (0..count).map(|_| broker.command(WAITS_MS)).collect();
+            // A connection that has ended may refuse the bytes; what was said on it is read all the same.
+            let _ = client.write_all(commands.as_bytes());
+            std::thread::sleep(Duration::from_millis(held_back_ms));
+        }
+        let answers: Vec<_> = (0..AT_ONCE).map(|_| answer(&mut client)).collect();
+        let are_answers = answers.iter().all(|a| matches!(a.as_deref(), Ok("$5" | "-BUSY")));
+        assert!(are_answers, "held back for {held_back_ms} ms: {answers:?}");
+    }
+}
+
 /// Guards against a request that nobody reads in its time, since requests of others that take long hold all places.
 #[test]
 fn a_request_at_a_full_front_is_refused_in_its_time() {
