Keep what a client's connection has done in a module without I/O

Requests that count from over 20 ms before they were read have a debug line with by how much, and whether they had lain there.

--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -2,6 +2,7 @@
 //! Nothing here knows what is spoken on a wire.
 
 pub mod accept_queue;
+pub mod activity;
 pub mod agreement;
 pub mod deadlines;
 pub mod guard;
--- a/src/wire/session.rs
+++ b/src/wire/session.rs
@@ -5,10 +5,11 @@
 use super::outbox::Outbox;
 use crate::interface::Time;
 use crate::interface::{Arrival, RequestId};
+use crate::state::activity::Activity;
 use crate::state::guard::{CloseReason, Guard};
 use crate::state::phase::Phase;
 use crate::state::planner::{Answer, Ask, Back, Input, Wire};
-use crate::state::seats::{Seat, Spare};
+use crate::state::seats::Seat;
 use crate::wire::clock::Pulse;
 use crate::wire::socket::{is_short_of_memory, passes, unread, Unread, REST};
 use bytes::BytesMut;
@@ -35,20 +36,10 @@
 /// How long a closing connection is kept for its client to close, so that the answers before its end are not lost to a
 /// reset.
 const LINGER: Duration = Duration::from_millis(100);
-/// How long a connection may have nothing open, or a command unfinished: not more, since clients have only so
-/// many connections, and those that ask once and stay would use them up.
-const PATIENCE: Time = 2_000_000;
-/// How long a command may be unfinished: some clients take two seconds for the head alone.
-const UNFINISHED: Time = 2_500_000;
-/// How long the first command may take from the moment of connecting: a client that sends nothing of use is
-/// told or sent away within 3 s.
-const FIRST_COMMAND: Time = 2_800_000;
-/// How long the rest may take to come of several commands that a client has sent at once: the way may cut them apart anywhere.
-const REST_OF_BATCH: Time = 100_000;
 /// How long the first command may take where it is only refused.
 const REFUSED_PATIENCE: Time = 100_000;
-/// How long a client may leave its answers unread: no request waits longer.
-const UNREAD: Time = 5_000_000;
+/// A request that counts from so long before it was read is worth a line in the log.
+const WORTH_A_LINE: Time = 20_000;
 
 /// Numbers for requests, shared by all fronts of a planner.
 #[derive(Debug, Clone, Default)]
@@ -155,66 +146,6 @@
     pub admission: Admission,
 }
 
-/// What a connection has done lately, for its deadline.
-struct Pace {
-    accepted: Time,
-    /// A command has been whole.
-    used: bool,
-    /// When it was last of use: a command taken, or the last answer written.
-    since: Time,
-    /// When an unfinished command began.
-    begun: Option<Time>,
-    /// When answers that wait to be written last began to wait, or moved.
-    moved: Option<Time>,
-    /// Until when the rest may come of what its client has sent at once, if it may have sent several commands.
-    batch_until: Option<Time>,
-}
-
-impl Pace {
-    fn new(now: Time) -> Self {
-        Pace { accepted: now, used: false, since: now, begun: None, moved: None, batch_until: None }
-    }
-
-    /// Takes note of what a read left of the buffer, and of how many requests it brought.
-    fn read(&mut self, now: Time, before: usize, after: usize, requests: usize) {
-        if after < before {
-            (self.used, self.since, self.begun) = (true, now, None);
-            // On one that has just been made, what comes first may be the beginning of several.
-            let several = requests > 1 || now < self.accepted + REST_OF_BATCH;
-            self.batch_until = several.then_some(now + REST_OF_BATCH);
-        }
-        if after > 0 && self.begun.is_none() {
-            self.begun = Some(now);
-        }
-    }
-
-    /// Takes note that something was written.
-    fn wrote(&mut self, now: Time) {
-        (self.since, self.moved) = (now, Some(now));
-    }
-
-    /// Why the connection may be asked to leave while nothing is open on it, and since when.
-    fn spare(&self) -> (Spare, Time) {
-        match self.begun {
-            Some(begun) => (Spare::Unfinished, begun),
-            None if self.used => (Spare::Idle, self.since),
-            None => (Spare::Silent, self.accepted),
-        }
-    }
-
-    /// When the connection has had its time, if nothing of use happens before. It is `idle` while nothing is
-    /// owed on it; answers may be `waiting` to be written.
-    fn deadline(&mut self, now: Time, idle: bool, waiting: bool) -> Option<Time> {
-        if waiting {
-            return Some(*self.moved.get_or_insert(now) + UNREAD);
-        }
-        self.moved = None;
-        let first = self.accepted + FIRST_COMMAND;
-        let patient = self.begun.map_or(self.since + PATIENCE, |begun| begun + UNFINISHED);
-        idle.then_some(if self.used { patient } else { patient.min(first) })
-    }
-}
-
 /// Carries one client connection until either side is done with it, or until the broker's phase wants it closed
 /// between requests.
 pub async fn serve<W: Wire, S: Session<W>>(
@@ -226,7 +157,7 @@
     let Site { planner, guard, pulse, mut phase } = site;
     let (back, mut answers) = unbounded_channel();
     let mut read = BytesMut::new();
-    let mut pace = Pace::new(pulse.now());
+    let mut activity = Activity::new(pulse.now());
     // What was read while nothing was taken.
     let mut untaken = false;
     // Since when nothing was read.
@@ -243,17 +174,17 @@
         }
         let idle = session.owed().is_empty() && !waiting && !session.passes();
         let gives_way = idle && session.gives_way();
-        seat.set_spare(gives_way.then(|| pace.spare()));
+        seat.set_spare(gives_way.then(|| activity.spare()));
         let now = ways.pulse.now();
-        let deadline = pace.deadline(now, gives_way, waiting);
+        let deadline = activity.deadline(now, gives_way, waiting);
         let is_over = |at: Option<Time>| at.is_some_and(|at| at <= now);
         let over = is_over(deadline);
         // A command that has begun is waited for: its last byte may be on its way.
         let stands = *phase.borrow();
-        let closes =
-            admission.closes_at(stands, pace.since, pace.used).filter(|_| idle && pace.begun.is_none());
+        let closes = admission.closes_at(stands, activity.last_use(), activity.is_used());
+        let closes = closes.filter(|_| idle && !activity.is_amid_command());
         // So is the rest of several that were sent at once. Where all are refused, so is what has not come.
-        let batch = pace.batch_until.filter(|at| idle && *at > now && admission == Admission::Served);
+        let batch = activity.batch_until(now).filter(|_| idle && admission == Admission::Served);
         let closes = closes.map(|at| at.max(batch.unwrap_or(at)));
         // Half a command is not waited for beyond the last moment at which its answer could be given.
         let ends = stands.ends_at().filter(|_| idle);
@@ -262,7 +193,7 @@
         let open = listens && !session.full() && session.outbox().len() < MOST_UNREAD;
         if open && std::mem::take(&mut untaken) {
             // What was read is answered, whatever else would be done with the connection now.
-            ways.take(&stream, &mut session, &mut pace, &mut read);
+            ways.take(&stream, &mut session, &mut activity, &mut read);
             continue;
         }
         if over && waiting {
@@ -272,7 +203,8 @@
         if idle && session.ending() {
             break CloseReason::Ended;
         }
-        let unfinished = pace.begun.is_some() && (over || is_over(ends) || (gives_way && seat.is_called()));
+        let unfinished =
+            activity.is_amid_command() && (over || is_over(ends) || (gives_way && seat.is_called()));
         if unfinished || (idle && (over || wanted)) {
             // The clock may have run while nobody read: what has come is taken first. The runtime is asked to look again.
             let reads = stands.reads_between(now);
@@ -280,16 +212,19 @@
                 tokio::task::yield_now().await;
                 match stream.try_read_buf(&mut read) {
                     Ok(1..) => {
-                        ways.take(&stream, &mut session, &mut pace, &mut read);
+                        ways.take(&stream, &mut session, &mut activity, &mut read);
                         continue;
                     }
                     Err(error) if passes(&error) => continue,
                     _ => {}
                 }
             }
-            if unfinished && pace.begun.take().is_some() && !session.ending() {
-                session.hurry();
-                continue;
+            if unfinished {
+                activity.give_up_command();
+                if !session.ending() {
+                    session.hurry();
+                    continue;
+                }
             }
             if idle {
                 break match (over, seat.is_called()) {
@@ -324,14 +259,14 @@
                 }
                 // What was read but held back because too much was owed.
                 if !read.is_empty() && !session.full() {
-                    ways.take(&stream, &mut session, &mut pace, &mut read);
+                    ways.take(&stream, &mut session, &mut activity, &mut read);
                 }
             }
             ready = stream.writable(), if waiting => {
                 match ready.and_then(|()| stream.try_write_vectored(&session.outbox().slices())) {
                     Ok(n) => {
                         session.wrote(n);
-                        pace.wrote(ways.pulse.now());
+                        activity.wrote(ways.pulse.now());
                     }
                     Err(e) if is_short_of_memory(&e) => tokio::time::sleep(REST).await,
                     Err(e) if passes(&e) => {}
@@ -354,7 +289,7 @@
                     Err(_) => break CloseReason::ClientGone,
                 }
                 match open {
-                    true => ways.take(&stream, &mut session, &mut pace, &mut read),
+                    true => ways.take(&stream, &mut session, &mut activity, &mut read),
                     false => {
                         untaken = true;
                         ways.lies_since(ways.pulse.came());
@@ -374,19 +309,19 @@
             () = stir(stirred) => {
                 // There may be room again for what was read.
                 if !read.is_empty() && !session.full() {
-                    ways.take(&stream, &mut session, &mut pace, &mut read);
+                    ways.take(&stream, &mut session, &mut activity, &mut read);
                 }
             }
             () = seat.called() => {}
         }
     };
-    ways.end(&session, &pace, reason, *phase.borrow());
-    let refuses = !pace.used || admission == Admission::Refused;
+    ways.end(&session, &activity, reason, *phase.borrow());
+    let refuses = !activity.is_used() || admission == Admission::Refused;
     if refuses && reason.is_own_wish() {
         session.turn_away();
         write_last(&stream, &mut session).await;
     }
-    if lingers(reason, pace.used, admission) {
+    if lingers(reason, activity.is_used(), admission) {
         close(stream).await;
     }
 }
@@ -464,7 +399,7 @@
     }
 
     /// A connection ends: what it owes is nobody's any more.
-    fn end<S: Session<W>>(&self, session: &S, pace: &Pace, reason: CloseReason, phase: Phase) {
+    fn end<S: Session<W>>(&self, session: &S, activity: &Activity, reason: CloseReason, phase: Phase) {
         let owed = session.owed();
         // The client may have closed it at the beginning of a stall, but not before it was last seen open.
         let closed = self.pulse.came().max(self.seen_open.get());
@@ -476,11 +411,11 @@
             _ => {
                 let now = self.pulse.now();
                 let (open_us, since_us, stalled_us) =
-                    (now - pace.accepted, now - closed, now - self.pulse.came());
+                    (now - activity.accepted(), now - closed, now - self.pulse.came());
                 tracing::debug!(
                     ?reason,
                     ?owed,
-                    used = pace.used,
+                    used = activity.is_used(),
                     open_us,
                     since_us,
                     stalled_us,
@@ -515,16 +450,27 @@
 
     /// Has the session take what was read, and hands over what it asks for. Its clients count from when it came, not from
     /// when there was room for it.
-    fn take<S: Session<W>>(&self, stream: &TcpStream, session: &mut S, pace: &mut Pace, read: &mut BytesMut) {
+    fn take<S: Session<W>>(
+        &self,
+        stream: &TcpStream,
+        session: &mut S,
+        activity: &mut Activity,
+        read: &mut BytesMut,
+    ) {
         let (before, mut asks) = (read.len(), Vec::new());
         let came = self.pulse.came();
         let lying = self.lying.get();
-        session.receive(lying.map_or(came, |since| since.min(came)), read, &mut asks);
+        let arrived = lying.map_or(came, |since| since.min(came));
+        session.receive(arrived, read, &mut asks);
+        let waited_us = self.pulse.now() - arrived;
+        if waited_us > WORTH_A_LINE && !asks.is_empty() {
+            tracing::debug!(waited_us, lying = lying.is_some(), requests = asks.len(), "counts from before");
+        }
         let rests = |lying: Option<Time>| {
             lying.is_some() && ((session.full() && !read.is_empty()) || unread(stream) == Unread::Bytes)
         };
         self.lying.set(lying.filter(|_| rests(lying)));
-        pace.read(self.pulse.now(), before, read.len(), asks.len());
+        activity.read(self.pulse.now(), before, read.len(), asks.len());
         if read.is_empty() {
             // A client that is idle must not pin the buffer of its last command.
             *read = BytesMut::new();
@@ -557,6 +503,3 @@
     };
     let _ = tokio::time::timeout(LINGER, ended).await;
 }
-
-#[cfg(test)]
-mod tests;
