--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -4,6 +4,7 @@
 mod common;
 mod nbd;
 mod removed_export;
+mod replaced_node;
 mod settings;
 
 use common::{Case, Verdict};
@@ -18,6 +19,7 @@
     };
     let play: fn(&Case) -> Verdict = match name.as_str() {
         "removed-export" => removed_export::play,
+        "replaced-node" => replaced_node::play,
         _ => {
             eprintln!("no case {name}");
             exit(2);
