Review case 3: an NBD request taken during a stop is never answered

The NBD session gives a request its class's whole deadline, also after SIGTERM. Where its node hangs it is still open when SIGKILL comes.

Added: the case and its claim.

--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -2,6 +2,7 @@
 //! broken, 0 if it held, and 2 if the case could not run.
 
 mod common;
+mod late_request;
 mod nbd;
 mod removed_export;
 mod replaced_node;
@@ -20,6 +21,7 @@
     let play: fn(&Case) -> Verdict = match name.as_str() {
         "removed-export" => removed_export::play,
         "replaced-node" => replaced_node::play,
+        "late-request" => late_request::play,
         _ => {
             eprintln!("no case {name}");
             exit(2);
