Review case 2: an older change undoes a drain that was agreed on

A broker that is cut off keeps what it read on SIGHUP and puts it forward again after the partition, although it has put a later configuration into force since. All brokers go back to it: they send to the drained node, and an acknowledged write is not read back.

--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -2,11 +2,12 @@
 //! broken, 0 if it held, and 2 if the case could not run.
 
 mod common;
-mod late_request;
 mod nbd;
+mod proxy;
 mod removed_export;
 mod replaced_node;
 mod settings;
+mod stale_change;
 
 use common::{Case, Verdict};
 use std::path::Path;
@@ -21,7 +22,7 @@
     let play: fn(&Case) -> Verdict = match name.as_str() {
         "removed-export" => removed_export::play,
         "replaced-node" => replaced_node::play,
-        "late-request" => late_request::play,
+        "stale-change" => stale_change::play,
         _ => {
             eprintln!("no case {name}");
             exit(2);
--- a/review/stand-ins/nbd.rs
+++ b/review/stand-ins/nbd.rs
@@ -42,8 +42,6 @@
 pub enum Manner {
     /// Answers each after a time, one after another on a connection.
     Serve(Duration),
-    /// Takes requests and answers none.
-    Hang,
 }
 
 /// What a node holds and has seen.
@@ -137,13 +135,8 @@
                 "node {name}: export {asked:?} gets command {command} at {offset}, {length} bytes{}",
                 data.first().map(|b| format!(" of {b:#04x}")).unwrap_or_default()
             ));
-            match manner {
-                Manner::Hang => {
-                    // It reads on, and says nothing.
-                    continue;
-                }
-                Manner::Serve(after) => thread::sleep(after),
-            }
+            let Manner::Serve(after) = manner;
+            thread::sleep(after);
             let mut held = self.held.lock().expect("the node");
             let bytes = held.exports.get_mut(&export).expect("the export");
             let range = offset as usize..offset as usize + length;
