Review case 1: a smaller load that shows reads and writes alike

With 40 requests of each kind the node's reads were sent first, so that a run showed overwritten blocks only, and the load was more than a small deployment has. 12 reads and 12 writes show both.

--- a/review/stand-ins/removed_export.rs
+++ b/review/stand-ins/removed_export.rs
@@ -13,7 +13,7 @@
 const TALLIES: u8 = 0x22;
 const WRITTEN: u8 = 0xa0;
 /// Requests of each client that are open at once.
-const OPEN: u64 = 40;
+const OPEN: u64 = 12;
 /// How long the node takes for a request.
 const SERVICE: Duration = Duration::from_millis(60);
 
