Keep an older NBD configuration from undoing one that was agreed on after it

Cause: a value is the whole configuration, the last one committed wins, and its proposer repeated it every 2 s until that very value was committed, whatever came before it. Nothing said what it was made from.

Change: a proposal says which revision it was made against, and a leader appends it only behind that one in its own log, which precedes the entry wherever it is committed. The proposer repeats it until the first revision after its base is committed: its own or another one, to which it then gave way, told by the log and by the new call STATUS. The pending change is kept beside the log, so that it outlives a kill. Files of the build before are read; its changes are refused by a leader of this build, and changes of this build wait while one of that build leads, in words. The part of a leader's hard state that only says how far is committed is now written before anything is put into force.

--- a/src/run/nbd.rs
+++ b/src/run/nbd.rs
@@ -6,7 +6,7 @@
 use super::front::{sweep, Front};
 use super::limits::Limits;
 use super::listen::listen;
-use super::peers::Peers;
+use super::peers::{Peers, SharedStatus};
 use super::planner_driver::PlannerDriver;
 use super::settings::Bounds;
 use crate::interface::{ListKind, Time};
@@ -60,6 +60,8 @@
     pub planner: UnboundedSender<Input<Nbd>>,
     /// Where the fleet is told that all clients are gone.
     ending: UnboundedSender<oneshot::Sender<()>>,
+    /// What is known of the agreement among peers, if there are peers.
+    pub agreement: Option<SharedStatus>,
 }
 
 /// How long the last notes at the nodes may take.
@@ -156,13 +158,16 @@
     let accepting = tokio::task::spawn_local(front.accept(move || Client::new(exports.clone(), ids.clone())));
     let mut hangup =
         signal(SignalKind::hangup()).map_err(|error| StartError::Io { what: "SIGHUP".to_string(), error })?;
+    let mut agreement_status = None;
     // Where news of the configuration go: to the peers, or into force at once where there are none.
     let mut news: Box<dyn FnMut(Shared)> = if deploy.peers.len() > 1 {
         let (wish, wishes) = unbounded_channel();
         let ids: Vec<u64> = deploy.peers.iter().map(|p| p.id).collect();
         let agreement = Agreement::new(deploy.own_peer, &ids, deploy.kept.clone())?;
         let (own, first) = (deploy.own_peer, encode(&deploy.shared));
-        let peers = Peers { own, all: deploy.peers, agreement, wishes, first };
+        let status = SharedStatus::default();
+        agreement_status = Some(status.clone());
+        let peers = Peers { own, all: deploy.peers, agreement, wishes, first, status };
         peers.start(move |value| match serde_json::from_slice(&value) {
             Ok(shared) => applied.apply(&shared),
             Err(error) => tracing::error!(%error, "peers agreed on something else than a configuration"),
@@ -186,7 +191,7 @@
         }
     });
     tracing::info!(listen = address, "NBD front on");
-    Ok(Running { slots, accepting, planner: own, ending })
+    Ok(Running { slots, accepting, planner: own, ending, agreement: agreement_status })
 }
 
 fn encode(shared: &Shared) -> Bytes {
--- a/src/run/peers.rs
+++ b/src/run/peers.rs
@@ -4,11 +4,14 @@
 use super::error::StartError;
 use super::folder::run_blocking;
 use super::listen::listen;
-use crate::state::agreement::{Agreement, AgreementError};
+use crate::state::agreement::pending::Outcome;
+use crate::state::agreement::{Agreement, AgreementError, Status};
 use crate::wire::raft::{decode, encode};
 use bytes::{Bytes, BytesMut};
 use raft::eraftpb::Message;
+use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -33,8 +36,13 @@
     pub wishes: UnboundedReceiver<Bytes>,
     /// What is put forward when nothing has ever been agreed on.
     pub first: Bytes,
+    /// What is known of the agreement, kept up to date for operators.
+    pub status: SharedStatus,
 }
 
+/// What an instance knows of the agreement, shared with those who tell operators.
+pub type SharedStatus = Rc<RefCell<Status>>;
+
 impl Peers {
     /// Takes part until the process ends; `apply` is told each value agreed on.
     pub fn start(mut self, mut apply: impl FnMut(Bytes) + 'static) -> Result<(), StartError> {
@@ -55,9 +63,7 @@
                 tokio::select! {
                     _ = ticks.tick() => {
                         self.agreement.tick();
-                        if self.agreement.leads_an_empty_log() {
-                            self.agreement.propose(self.first.clone());
-                        }
+                        self.agreement.propose_initial(&self.first);
                     }
                     Some(message) = messages.recv() => self.agreement.step(message),
                     Some(value) = self.wishes.recv() => self.agreement.propose(value),
@@ -81,6 +87,8 @@
                             }
                         }
                         turn.committed.into_iter().for_each(&mut apply);
+                        turn.outcomes.iter().for_each(log_outcome);
+                        self.status.replace(self.agreement.status());
                     }
                     Err(error) => return stop(error),
                 }
@@ -90,6 +98,19 @@
     }
 }
 
+/// Tells the operator who changed the configuration here what became of the change.
+fn log_outcome(outcome: &Outcome) {
+    match outcome {
+        Outcome::Agreed { revision } => tracing::info!(revision, "change of the configuration agreed on"),
+        Outcome::GaveWay { made_against, revision, proposer } => tracing::warn!(
+            made_against,
+            revision,
+            proposer,
+            "change of the configuration gave way to another one: adapt the file to what is in force, then send SIGHUP again"
+        ),
+    }
+}
+
 /// An instance that cannot keep its promises takes no further part; what is in force stays so.
 fn stop(error: AgreementError) {
     tracing::error!(%error, "no longer takes part in agreeing");
--- a/src/run/start.rs
+++ b/src/run/start.rs
@@ -294,6 +294,7 @@
             planner: own.clone(),
             state_saver: keeper,
             cluster,
+            agreement: nbd.as_ref().and_then(|front| front.agreement.clone()),
             clock,
         });
         let callers = ClientSlots::default();
--- a/src/wire/admin/handler.rs
+++ b/src/wire/admin/handler.rs
@@ -2,6 +2,7 @@
 
 use super::{Call, CallError};
 use crate::interface::{ListKind, Time};
+use crate::state::agreement::Status;
 use crate::state::maintenance::{Maintenance, Refused};
 use crate::state::phase::{Phase, Transition};
 use crate::state::planner::{Input, ListedNode, Wire};
@@ -40,6 +41,8 @@
     pub state_saver: Option<UnboundedSender<SaveRequest>>,
     /// The cluster, if this broker is part of one.
     pub cluster: Option<Box<dyn Cluster>>,
+    /// What is known of the agreement on the NBD configuration, if this broker has peers.
+    pub agreement: Option<Rc<RefCell<Status>>>,
     /// The clock.
     pub clock: Clock,
 }
@@ -66,6 +69,7 @@
                 Ok(Call::Leave) => change_phase(&self.phase, Transition::Leave, self.clock.now())
                     .map(|()| "leaving".to_string()),
                 Ok(Call::Members) => self.members(),
+                Ok(Call::Status) => self.agreement_status(),
                 Ok(Call::Join) => change_phase(&self.phase, Transition::Join, self.clock.now())
                     .map(|()| "serving".to_string()),
             };
@@ -83,6 +87,11 @@
         Some(members).filter(|s| !s.is_empty()).ok_or_else(|| "takes no part in the cluster".to_string())
     }
 
+    fn agreement_status(&self) -> Result<String, String> {
+        let status = self.agreement.as_ref().ok_or("no peers")?;
+        serde_json::to_string(&*status.borrow()).map_err(|e| e.to_string())
+    }
+
     fn health(&self) -> Result<String, String> {
         let phase = *self.phase.borrow();
         match phase {
--- a/src/wire/admin/mod.rs
+++ b/src/wire/admin/mod.rs
@@ -31,6 +31,8 @@
     Join,
     /// Asks for the members of the cluster, as known to this broker.
     Members,
+    /// Asks what this broker knows of the agreement on the NBD configuration.
+    Status,
 }
 
 /// Why a line is not a valid call.
@@ -43,7 +45,7 @@
     #[error("not a line of text")]
     NotText,
     /// The first word is not the name of a call.
-    #[error("unknown call; there are HEALTH, OFFLINE ID, ONLINE ID, LEAVE, JOIN, MEMBERS")]
+    #[error("unknown call; there are HEALTH, OFFLINE ID, ONLINE ID, LEAVE, JOIN, MEMBERS, STATUS")]
     Unknown,
     /// The call needs a node id, and none is given.
     #[error("the call needs the id of a disk node")]
@@ -98,6 +100,7 @@
         "LEAVE" => without_argument(Call::Leave),
         "JOIN" => without_argument(Call::Join),
         "MEMBERS" => without_argument(Call::Members),
+        "STATUS" => without_argument(Call::Status),
         _ => Err(CallError::Unknown),
     }
 }
@@ -121,6 +124,7 @@
         assert_eq!(parse(b"leave\n"), Some(Ok(Call::Leave)));
         assert_eq!(parse(b"JOIN \n"), Some(Ok(Call::Join)));
         assert_eq!(parse(b"MEMBERS\n"), Some(Ok(Call::Members)));
+        assert_eq!(parse(b"STATUS\n"), Some(Ok(Call::Status)));
         assert_eq!(parse(b"OFFLINE s-5be2a07c\r\n"), Some(Ok(node("s-5be2a07c", true))));
         assert_eq!(parse(b"ONLINE  s-5be2a07c\n"), Some(Ok(node("s-5be2a07c", false))));
         for (line, wrong) in [
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -61,6 +61,18 @@
 
     /// The same where the process may hold so many descriptors, though its configuration says 256.
     pub fn start_within(name: &str, settings: &str, discovery: &str, nbd: Option<&str>, files: u32) -> Self {
+        Self::start_with(name, settings, discovery, nbd, files, &[])
+    }
+
+    /// The same with these variables in its environment.
+    pub fn start_with(
+        name: &str,
+        settings: &str,
+        discovery: &str,
+        nbd: Option<&str>,
+        files: u32,
+        variables: &[(&str, &str)],
+    ) -> Self {
         let folder = std::env::temp_dir().join(format!("claywinch-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
         let (listen, nbd_listen) = (free_address(), free_address());
@@ -77,6 +89,7 @@
             .env("RELAY_LISTEN", &listen)
             .env("RELAY_DISCOVERY", discovery)
             .env("CLAYWINCH_NBD", &nbd_file)
+            .envs(variables.iter().copied())
             .stderr(Stdio::from(std::fs::File::create(folder.join("log")).expect("a log")))
             .spawn()
             .expect("the broker starts");
