Keep an operator's call in a cluster from undoing a later one elsewhere

Cause: a broker repeats a call for 0.9 s until a view shows what was asked. One that asks for what holds already has no such view, so its repeats undo the call that comes next; a datagram that arrives late or twice does the same for any call, as nothing says what it was made from.

The leader drops a call where a later view had one about that node. Every call takes a view, and the first one about the node decides it: 200, or 400 with the reason, and no repeats after it.

--- a/crates/lab/src/scale/host.rs
+++ b/crates/lab/src/scale/host.rs
@@ -387,7 +387,8 @@
             Some(hollow) => hollow.cluster.order(Order::Drain(node.clone(), out, told)),
             None => break,
         }
-        within_ms = tokio::time::timeout(ASKED, agreed).await.ok().and_then(Result::ok);
+        let answer = tokio::time::timeout(ASKED, agreed).await.ok().and_then(Result::ok);
+        within_ms = answer.and_then(Result::ok);
     }
     pen.note(What::Drained { name, drained: node, out, within_ms });
 }
--- a/crates/lab/src/simulated.rs
+++ b/crates/lab/src/simulated.rs
@@ -4,6 +4,7 @@
 use crate::layout::Layout;
 use crate::meter::{kind, Counted, Spread, Traffic};
 use claywinch::interface::Time;
+use claywinch::state::membership::drains::Decided;
 use claywinch::state::membership::lease::over_after;
 use claywinch::state::membership::node::{Node, Output, Packet, Phase};
 use claywinch::state::membership::{Settings, View};
@@ -64,6 +65,8 @@
     pub full: bool,
     /// The nodes that are out here.
     pub out: BTreeSet<String>,
+    /// What became of operators' calls that were made here.
+    pub decided: Vec<Decided>,
     /// Packets sent, and their bytes as encoded.
     pub sent: (u64, u64),
     /// What it did since the last mark.
@@ -445,6 +448,7 @@
                         node.applied(state);
                     }
                 }
+                Output::Decided(call) => self.hosts[host].decided.push(call),
                 Output::Log(_) => {}
             }
         }
--- a/src/run/cluster.rs
+++ b/src/run/cluster.rs
@@ -5,6 +5,7 @@
 use crate::interface::Time;
 use crate::state::membership::council::CouncilError;
 use crate::state::membership::delta::Delta;
+use crate::state::membership::drains::{CallId, Decided, Decision};
 use crate::state::membership::lease::over_after;
 use crate::state::membership::node::{Node, Output, Phase};
 use crate::state::membership::{Settings, View, MOST_DRAINS, MOST_NAME};
@@ -15,7 +16,7 @@
 use redb::{Database, ReadableDatabase, TableDefinition};
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -268,8 +269,8 @@
     Leave(Option<oneshot::Sender<()>>),
     /// Comes back.
     Join,
-    /// Takes a node out everywhere, or puts it back; told with the milliseconds until it holds.
-    Drain(String, bool, oneshot::Sender<u64>),
+    /// Takes a node out everywhere, or puts it back; told what came of it.
+    Drain(String, bool, oneshot::Sender<handler::Agreed>),
 }
 
 /// Puts a view's drains into force; told when nothing new goes to them from here.
@@ -342,13 +343,49 @@
         self.part.node.borrow().as_ref().map(|node| self.part.show(node)).unwrap_or_default()
     }
 
-    fn drain(&self, name: &str, out: bool) -> oneshot::Receiver<u64> {
+    fn drain(&self, name: &str, out: bool) -> oneshot::Receiver<handler::Agreed> {
         let (told, agreed) = oneshot::channel();
         self.order(Order::Drain(name.to_string(), out, told));
         agreed
     }
 }
 
+/// Those who wait for what becomes of operators' calls.
+#[derive(Default)]
+struct Callers(BTreeMap<CallId, Vec<oneshot::Sender<handler::Agreed>>>);
+
+impl Callers {
+    /// Forgets those who have stopped waiting. Returns whether another one may wait.
+    fn have_room(&mut self) -> bool {
+        for waiting in self.0.values_mut() {
+            waiting.retain(|told| !told.is_closed());
+        }
+        self.0.retain(|_, waiting| !waiting.is_empty());
+        self.0.values().map(Vec::len).sum::<usize>() < MOST_DRAINS
+    }
+
+    /// Waits for a call; one that could not be made is told at once, by the end of its channel.
+    fn wait(&mut self, call: Option<CallId>, told: oneshot::Sender<handler::Agreed>) {
+        if let Some(call) = call {
+            self.0.entry(call).or_default().push(told);
+        }
+    }
+
+    /// Tells what became of a call; a node that is out is used nowhere any more after `everywhere` milliseconds.
+    fn tell(&mut self, call: &Decided, everywhere: u64) {
+        for told in self.0.remove(&call.call).unwrap_or_default() {
+            let answer = match call.decision {
+                Decision::Agreed => Ok(if call.out { everywhere } else { 0 }),
+                Decision::GaveWay => Err(handler::GaveWay),
+                // The end of the channel says that nothing was agreed on.
+                Decision::Expired => continue,
+            };
+            // Who has stopped waiting need not be told.
+            let _ = told.send(answer);
+        }
+    }
+}
+
 struct Task {
     file: File,
     store: Option<Store>,
@@ -433,7 +470,7 @@
         let mut buffer = vec![0; MOST_DATAGRAM];
         let (mut parts, mut number) = (Parts::default(), self.seed);
         let mut leaving: Vec<oneshot::Sender<()>> = Vec::new();
-        let mut drains: Vec<(String, bool, oneshot::Sender<u64>)> = Vec::new();
+        let mut callers = Callers::default();
         let (reached, mut in_force) = mpsc::unbounded_channel();
         let bound = self.file.without_lease == WithoutLease::Stop;
         let mut halted = bound;
@@ -458,10 +495,9 @@
                         }
                         Order::Join => node.join(),
                         Order::Drain(name, out, told) => {
-                            drains.retain(|(_, _, told)| !told.is_closed());
-                            if drains.len() < MOST_DRAINS {
-                                node.drain(self.clock.now(), name.clone(), out, PRESS);
-                                drains.push((name, out, told));
+                            if callers.have_room() {
+                                let call = node.drain(self.clock.now(), name, out, PRESS);
+                                callers.wait(call, told);
                             }
                         }
                     }
@@ -476,6 +512,7 @@
                 self.read(&mut buffer, &mut parts, node);
                 (node.turn(self.clock.now())?, node.phase())
             };
+            let mut decided = Vec::new();
             for output in outputs {
                 match output {
                     Output::Keep(value) => {
@@ -497,9 +534,13 @@
                             }
                         });
                     }
+                    Output::Decided(call) => decided.push(call),
                     Output::Log(text) => tracing::info!("{text}"),
                 }
             }
+            // A broker that is cut off goes on for a lease at most.
+            let everywhere = if bound { over_after(i64::from(self.file.lease_ms)) as u64 } else { 0 };
+            decided.iter().for_each(|call| callers.tell(call, everywhere));
             let node = part.node.borrow();
             let node = node.as_ref().ok_or_else(gone)?;
             let lapsed = self.clock.now() >= node.lease();
@@ -510,12 +551,6 @@
                     (self.hooks.halt)(halted);
                 }
             }
-            let over = over_after(i64::from(self.file.lease_ms));
-            let agreed = |(name, out, _): &mut (String, bool, _)| node.view().drains.contains(name) == *out;
-            for (_, out, told) in drains.extract_if(.., agreed) {
-                // Who has stopped waiting need not be told.
-                let _ = told.send(if out && bound { over as u64 } else { 0 });
-            }
             if node.phase() != Phase::Leaving {
                 for told in leaving.drain(..) {
                     // Who has stopped waiting need not be told.
--- a/src/state/membership/council.rs
+++ b/src/state/membership/council.rs
@@ -354,12 +354,28 @@
         self.leads() && self.pressed.is_none_or(|at| self.ticks - at >= PRESS_TICKS)
     }
 
-    /// Puts a view forward that follows the last.
+    /// Proposes a view that follows the last.
     pub fn propose(&mut self, view: View) -> Result<(), CouncilError> {
+        self.propose_with_calls(view, &BTreeMap::new())
+    }
+
+    /// Proposes a view that follows the last. `calls` are the operators' calls that it decides, also those that ask for what
+    /// holds already: a call that was made before them must find out that it is not the last one.
+    pub fn propose_with_calls(
+        &mut self,
+        view: View,
+        calls: &BTreeMap<String, bool>,
+    ) -> Result<(), CouncilError> {
         let first = self.view.number == 0;
         let (context, data) = match first {
             true => (Vec::new(), postcard::to_stdvec(&Whole { after: 0, view })?),
-            false => (DELTA.to_vec(), postcard::to_stdvec(&Delta::between(&self.view, &view))?),
+            false => {
+                let mut delta = Delta::between(&self.view, &view);
+                let changed: BTreeSet<String> = delta.drains.iter().map(|(node, _)| node.clone()).collect();
+                let kept = calls.iter().filter(|(node, _)| !changed.contains(*node));
+                delta.drains.extend(kept.map(|(node, out)| (node.clone(), *out)));
+                (DELTA.to_vec(), postcard::to_stdvec(&delta)?)
+            }
         };
         if self.node.propose(context, data).is_ok() {
             self.pressed = Some(self.ticks);
--- a/src/state/membership/delta.rs
+++ b/src/state/membership/delta.rs
@@ -26,7 +26,7 @@
     pub joined: Vec<Member>,
     /// The voters, if they change.
     pub seats: Option<Vec<Seat>>,
-    /// Nodes that are taken out, or put back.
+    /// Operators' calls: nodes that are taken out, or put back. Some may be so already.
     pub drains: Vec<(String, bool)>,
 }
 
@@ -159,6 +159,14 @@
         (skip <= self.kept.len() && fits).then(|| later().cloned().collect())
     }
 
+    /// Whether no view after that number had an operator's call about a node; nothing where that is not known any more.
+    pub fn untouched(&self, node: &str, number: u64) -> Option<bool> {
+        let first = self.kept.front()?.after;
+        let skip = usize::try_from(number.checked_sub(first)?).ok()?;
+        let touches = |d: &Arc<Delta>| d.drains.iter().any(|(name, _)| name == node);
+        (skip <= self.kept.len()).then(|| !self.kept.iter().skip(skip).any(touches))
+    }
+
     /// The number of the last view that a name went with, as far as is known.
     pub fn gone(&self, name: &str) -> Option<u64> {
         let with = |d: &&Arc<Delta>| d.gone.iter().any(|n| n == name);
--- a/src/state/membership/mod.rs
+++ b/src/state/membership/mod.rs
@@ -4,6 +4,7 @@
 pub mod council;
 pub mod cut;
 pub mod delta;
+pub mod drains;
 pub mod edges;
 pub mod lease;
 pub mod node;
--- a/src/state/membership/node.rs
+++ b/src/state/membership/node.rs
@@ -3,6 +3,7 @@
 use super::council::{Council, CouncilError, Roll, Step};
 use super::cut::{Cut, Down};
 use super::delta::{weight, Delta, Deltas};
+use super::drains::{CallId, Calls, Decided, Decision, Request};
 use super::edges::{Edges, Subject};
 use super::lease::{enough, Lease};
 use super::rings::{subjects, Rings, RINGS};
@@ -65,7 +66,7 @@
     Renew(Time, u64),
     /// A voter's word.
     Grant(Grant),
-    /// Takes a node out, or puts it back.
+    /// Takes a node out, or puts it back. The packet's view is the one that the call was made against.
     Drain(String, bool),
     /// For the consensus.
     Raft(Vec<u8>),
@@ -135,6 +136,8 @@
     View(Arc<View>, Option<Arc<Delta>>),
     /// The nodes that are out from now on. Once that is in force [`Node::applied`] is to be told the number.
     Force(u64, BTreeSet<String>),
+    /// What became of an operator's call.
+    Decided(Decided),
     /// For the log.
     Log(String),
 }
@@ -177,9 +180,10 @@
     forced: (u64, u64),
     /// The view in force.
     in_force: u64,
-    /// Drains that this broker was asked for, and when it will give up on each.
-    wishes: BTreeMap<String, (bool, Time)>,
-    /// Drains that a leader is to put into the next view.
+    /// Operators' calls that were made at this broker.
+    calls: Calls,
+    /// Calls that a leader is to put into the next view, whether or not they change anything. A view with a call about the
+    /// same node ends them.
     drains: BTreeMap<String, bool>,
     led: bool,
     tick: Time,
@@ -222,7 +226,7 @@
             pending: BTreeMap::new(),
             forced: (0, 0),
             in_force: 0,
-            wishes: BTreeMap::new(),
+            calls: Calls::default(),
             drains: BTreeMap::new(),
             led: false,
             tick: now,
@@ -286,11 +290,25 @@
         self.in_force
     }
 
-    /// Asks for a node to be taken out everywhere, or put back, until a view says so, for so long.
-    pub fn drain(&mut self, now: Time, name: String, out: bool, patience: Time) {
-        if self.wishes.len() < MOST_DRAINS || self.wishes.contains_key(&name) {
-            self.wishes.insert(name, (out, now + patience));
-            self.wish = now;
+    /// Asks for a node to be taken out everywhere, or put back, until a view decides that, for so long. What becomes of the
+    /// call is an [`Output::Decided`] with the number that is returned; there is none if too many calls are open.
+    pub fn drain(&mut self, now: Time, name: String, out: bool, patience: Time) -> Option<CallId> {
+        let (call, replaced) = self.calls.make(&self.view, &name, out, now + patience)?;
+        self.decided(replaced);
+        self.wish = now;
+        Some(call)
+    }
+
+    /// Hands out what became of calls.
+    fn decided(&mut self, decided: impl IntoIterator<Item = Decided>) {
+        for decided in decided {
+            if decided.decision == Decision::GaveWay {
+                let Decided { node, out, .. } = &decided;
+                let (asked, number) = (if *out { "out" } else { "in use" }, self.view.number);
+                let text = format!("view {number}: the call for {node} {asked} gave way to another call");
+                self.out.push(Output::Log(text));
+            }
+            self.out.push(Output::Decided(decided));
         }
     }
 
@@ -400,15 +418,9 @@
             },
             Body::Grant(grant) => self.granted(now, grant, &address),
             Body::Drain(node, out) if self.view.holds(&from, incarnation) => {
-                self.forward(&address, from, life, incarnation, Body::Drain(node.clone(), out));
-                let full = out && !self.view.drains.contains(&node) && self.view.drains.len() >= MOST_DRAINS;
-                if full {
-                    // Whoever asked is told no when its time is over.
-                    let text = format!("not taken out: {node}; {MOST_DRAINS} nodes are out already");
-                    self.out.push(Output::Log(text));
-                } else if node.len() <= MOST_NAME && self.drains.len() < MOST_DRAINS {
-                    self.drains.insert(node, out);
-                }
+                let body = Body::Drain(node.clone(), out);
+                self.forward_against(view, &address, from, life, incarnation, body);
+                self.take_call(node, out, view);
             }
             Body::Down(down) if self.view.holds(&from, incarnation) => self.cut.told(now, &from, down),
             _ => {}
@@ -457,6 +469,8 @@
 
     /// Asks the voters for a lease, and for drains that are wished for.
     fn asks(&mut self, now: Time) {
+        let expired = self.calls.expire(now);
+        self.decided(expired);
         if self.incarnation == 0 {
             return;
         }
@@ -468,16 +482,36 @@
                 self.granted(now, grant, &own);
             }
         }
-        self.wishes.retain(|_, (_, end)| now < *end);
-        if !self.wishes.is_empty() && now >= self.wish {
+        if now >= self.wish {
             self.wish = now + self.set.probe / 2;
-            for (node, (out, _)) in self.wishes.clone() {
-                self.voters().into_iter().for_each(|to| self.send(&to, Body::Drain(node.clone(), out)));
-                self.drains.insert(node, out);
+            for Request { node, out, base } in self.calls.requests() {
+                let packet = Packet { view: base, ..self.packet(Body::Drain(node.clone(), out)) };
+                let others = self.voters().into_iter().filter(|to| *to != self.set.address);
+                let sends = others.map(|to| Output::Send(to, packet.clone()));
+                self.out.extend(sends);
+                self.take_call(node, out, base);
             }
         }
     }
 
+    /// Takes, as leader, an operator's call for the next view. One that was made against the view of number `base` is dropped
+    /// if a later view had a call about that node, or if that is not known: it must not undo what came after it.
+    fn take_call(&mut self, node: String, out: bool, base: u64) {
+        let last = base == self.view.number;
+        let latest = last || self.deltas.untouched(&node, base).unwrap_or(false);
+        if !self.leads() || !latest || node.len() > MOST_NAME {
+            return;
+        }
+        let full = out && !self.view.drains.contains(&node) && self.view.drains.len() >= MOST_DRAINS;
+        if full {
+            // Whoever asked is told no when its time is over.
+            let text = format!("not taken out: {node}; {MOST_DRAINS} nodes are out already");
+            self.out.push(Output::Log(text));
+        } else if self.drains.len() < MOST_DRAINS {
+            self.drains.insert(node, out);
+        }
+    }
+
     /// Tells one that knows the view of that number what has followed it; if that is too much, that there is something.
     fn tell(&mut self, address: &str, number: u64) {
         if self.view.number > number {
@@ -575,9 +609,23 @@
 
     /// Hands on to the leader what only it can do.
     fn forward(&mut self, address: &str, from: Name, life: u64, incarnation: u64, body: Body) {
+        self.forward_against(self.view.number, address, from, life, incarnation, body);
+    }
+
+    /// Hands on to the leader what only it can do, and what was made against the view of that number.
+    fn forward_against(
+        &mut self,
+        view: u64,
+        address: &str,
+        from: Name,
+        life: u64,
+        incarnation: u64,
+        body: Body,
+    ) {
         let Some(council) = self.council.as_ref().filter(|c| !c.leads()) else { return };
         let Some(to) = council.leader().and_then(|id| self.seat(id)) else { return };
-        let packet = Packet { from, address: address.to_string(), life, incarnation, ..self.packet(body) };
+        let address = address.to_string();
+        let packet = Packet { from, address, life, incarnation, view, ..self.packet(body) };
         self.out.push(Output::Send(to, packet));
     }
 
@@ -623,8 +671,12 @@
         }
         (self.behind, self.astray) = (None, false);
         self.early.retain(|after, _| *after >= self.view.number);
-        self.drains.retain(|node, out| self.view.drains.contains(node) != *out);
-        self.wishes.retain(|node, (out, _)| self.view.drains.contains(node) != *out);
+        match &delta {
+            Some(delta) => self.drains.retain(|node, _| !delta.drains.iter().any(|(name, _)| name == node)),
+            None => self.drains.clear(),
+        }
+        let decided = self.calls.apply(&self.view, delta.as_deref());
+        self.decided(decided);
         if delta.as_ref().is_none_or(|d| d.seats.is_some()) {
             let seats = &self.view.seats;
             self.lease.ask_of(enough(seats.len(), usize::from(self.view.wanted)));
@@ -825,7 +877,9 @@
             self.cut.clear();
             self.joins.clear();
             self.unseated.clear();
-            self.drains.retain(|node, _| self.wishes.contains_key(node));
+            // Whoever made a call repeats it.
+            self.drains.clear();
+            self.wish = now;
         }
         if council.leads() && council.view().number == self.view.number {
             self.lead(now, &mut council)?;
@@ -869,9 +923,7 @@
         }
         out.extend(self.leaves.keys().cloned());
         let seats = self.seats(now, council);
-        let same = |(node, out): (&String, &bool)| self.view.drains.contains(node) == *out;
-        let drains = !self.drains.iter().all(same);
-        let nothing = !drains && out.is_empty() && self.joins.is_empty() && seats.is_none();
+        let nothing = self.drains.is_empty() && out.is_empty() && self.joins.is_empty() && seats.is_none();
         if nothing || !council.may_propose() {
             return Ok(());
         }
@@ -910,7 +962,7 @@
                 seat.address.clone_from(&member.address);
             }
         }
-        council.propose(next)
+        council.propose_with_calls(next, &self.drains)
     }
 
     /// Moves the seats by one step: founders first, then a learner for each voter that is out for good, and
--- a/src/wire/admin/handler.rs
+++ b/src/wire/admin/handler.rs
@@ -20,13 +20,23 @@
 /// succeeded.
 pub type SaveRequest = oneshot::Sender<bool>;
 
+/// Why the cluster did not do what a call asked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error(
+    "gave way to another call about that node, which was agreed on first; ask again if it is still wanted"
+)]
+pub struct GaveWay;
+
+/// What the cluster agreed on: the milliseconds until a change is in force everywhere.
+pub type Agreed = Result<u64, GaveWay>;
+
 /// The functions of the cluster that calls need.
 pub trait Cluster {
     /// Returns the members as a line of JSON, or an empty text if this broker is no longer part of the cluster.
     fn members(&self) -> String;
-    /// Takes a node out of use at all brokers, or returns it to use. Once the cluster has agreed, the receiver yields the
-    /// milliseconds until the change is in force everywhere.
-    fn drain(&self, name: &str, out: bool) -> oneshot::Receiver<u64>;
+    /// Takes a node out of use at all brokers, or returns it to use. The receiver yields what the cluster agreed on; it ends
+    /// without that if nothing was agreed on in time.
+    fn drain(&self, name: &str, out: bool) -> oneshot::Receiver<Agreed>;
 }
 
 /// The parts of the broker that calls act on.
@@ -109,7 +119,8 @@
                 return Err(Refused::NeverListed.to_string());
             }
             let agreed = tokio::time::timeout(CALL_TIMEOUT, cluster.drain(name, out)).await;
-            let within = agreed.ok().and_then(Result::ok).ok_or("not agreed on")?;
+            let agreed = agreed.ok().and_then(Result::ok).ok_or("not agreed on")?;
+            let within = agreed.map_err(|gave_way| gave_way.to_string())?;
             let word = if out { "out" } else { "in use" };
             return Ok(format!("{word}, everywhere within {within} ms"));
         }
--- a/tests/agreement.rs
+++ b/tests/agreement.rs
@@ -3,6 +3,8 @@
 use bytes::Bytes;
 use claywinch::state::agreement::Agreement;
 use raft::eraftpb::Message;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use std::collections::BTreeSet;
 use std::path::PathBuf;
 
@@ -50,6 +52,7 @@
         let member = self.member(id);
         member.agreement = Some(agreement);
         member.committed.clear();
+        self.turns();
     }
 
     fn kill(&mut self, id: u64) {
@@ -312,3 +315,80 @@
         network.assert_in_force(&[id], "second");
     }
 }
+
+/// The seeds of schedules: `CLAYWINCH_SEED` alone, or so many as `CLAYWINCH_SEEDS` says.
+fn seeds(usual: u64) -> std::ops::Range<u64> {
+    let number = |name: &str| std::env::var(name).ok().and_then(|n| n.parse::<u64>().ok());
+    match number("CLAYWINCH_SEED") {
+        Some(seed) => seed..seed + 1,
+        None => 0..number("CLAYWINCH_SEEDS").unwrap_or(usual),
+    }
+}
+
+/// A change of a drawn schedule, and what was in force at its member when it was made.
+struct Made {
+    member: u64,
+    value: Bytes,
+    made_against: Option<Bytes>,
+}
+
+/// Plays a schedule of changes, cuts, kills and restarts that is drawn from the seed, then lets all members settle. The
+/// elections within are drawn by the `raft` crate, so a seed does not play exactly the same again.
+fn play_schedule(seed: u64) -> (Network, Vec<Made>) {
+    let mut network = Network::new(&format!("schedule-{seed}"));
+    let (mut chance, mut made) = (StdRng::seed_from_u64(seed), Vec::new());
+    network.holds = chance.random();
+    for step in 0..40 {
+        let id = MEMBERS[chance.random_range(0..MEMBERS.len())];
+        let runs = network.member(id).agreement.is_some();
+        match chance.random_range(0..6u32) {
+            0 => network.cut_off(id),
+            1 => network.mend(),
+            2 if runs => network.kill(id),
+            2 => network.start(id),
+            _ if runs => {
+                let value = Bytes::from(format!("{id}-{step}"));
+                let made_against = network.in_force(id).cloned();
+                network.member(id).agreement.as_mut().expect("it runs").propose(value.clone());
+                made.push(Made { member: id, value, made_against });
+            }
+            _ => {}
+        }
+        network.run(chance.random_range(0..30));
+    }
+    network.mend();
+    let stopped = MEMBERS.into_iter().filter(|id| network.members[*id as usize - 1].agreement.is_none());
+    stopped.collect::<Vec<_>>().into_iter().for_each(|id| network.start(id));
+    network.run(2 * SETTLED_TICKS);
+    (network, made)
+}
+
+/// Returns whether a configuration may follow another one: it was made against that one, or both were made by one member
+/// against the same one, the second in place of the first.
+fn may_follow(made: &[Made], before: &Bytes, after: &Bytes) -> bool {
+    let find = |value: &Bytes| made.iter().find(|m| m.value == value);
+    let Some(after) = find(after) else { return false };
+    let replaces = |before: &Made| before.member == after.member && before.made_against == after.made_against;
+    after.made_against.as_ref() == Some(before) || find(before).is_some_and(replaces)
+}
+
+/// Guards against any order of changes, cuts, kills and late messages in which a change follows one that its member did not
+/// know, members end differently, or a change stays undecided.
+#[test]
+fn schedules_of_faults_put_no_change_behind_one_that_it_did_not_know() {
+    for seed in seeds(60) {
+        let (network, made) = play_schedule(seed);
+        let order = &network.members[0].committed;
+        for member in &network.members {
+            assert_eq!(&member.committed, order, "seed {seed}, member {}", member.id);
+            let status = member.agreement.as_ref().expect("it runs").status();
+            assert_eq!(status.pending, None, "seed {seed}, member {}", member.id);
+        }
+        let follows = |pair: &[Bytes]| may_follow(&made, &pair[0], &pair[1]);
+        assert!(order.windows(2).all(follows), "seed {seed}: {order:?}");
+        // Whoever made the last change against what is in force in the end would have had it come into force.
+        let met_nothing = |m: &&Made| m.made_against.as_ref() == order.last();
+        assert!(!made.iter().any(|m| met_nothing(&m)), "seed {seed}: {order:?}");
+        assert!(made.is_empty() || order.len() > 1, "seed {seed}: no change came into force");
+    }
+}
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -264,3 +264,36 @@
     holds(&rig, "one that stops has left", |r| together(r, &[2, 3, 4, 5]));
     sound(&rig);
 }
+
+/// Guards against an operator's call that asks for what holds already and, repeated by its broker, undoes a later call at
+/// another one; in both directions.
+#[test]
+fn a_call_that_changes_nothing_does_not_undo_a_later_one_at_another_broker() {
+    const NODE: &str = "s-00000001";
+    /// Longer than a broker repeats a call.
+    const REPEATS: Duration = Duration::from_secs(2);
+    let (_script, node) = resp_node();
+    let (_discovery, address) = Discovery::start(&format!(
+        r#"{{"id":"{NODE}","host_port":"{node}","locality":"a","cell":0,"phase":"ready","up_since_ms":0}}"#
+    ));
+    let folder = std::env::temp_dir().join(format!("claywinch-cluster-calls-{}", std::process::id()));
+    let program = Path::new(env!("CARGO_BIN_EXE_claywinch"));
+    let mut rig = Rig::before_nodes(program, &folder, 3, 3, TIMES, Some(address)).expect("a rig");
+    (0..3).for_each(|b| rig.start(b).expect("starts"));
+    holds(&rig, "they come together", Rig::agree);
+    let call = |broker: usize, word: &str| rig.call(broker, &format!("{word} {NODE}")).expect("an answer");
+    until("the node is listed", || call(0, "ONLINE").starts_with("200"));
+    for (first, second, drains) in
+        [("ONLINE", "OFFLINE", r#""drains":["s-00000001"]"#), ("OFFLINE", "ONLINE", r#""drains":[]"#)]
+    {
+        assert!(call(0, first).starts_with("200"));
+        std::thread::sleep(Duration::from_millis(300));
+        assert!(call(1, second).starts_with("200"));
+        std::thread::sleep(REPEATS);
+        for broker in 0..3 {
+            let members = rig.call(broker, "MEMBERS").expect("an answer");
+            assert!(members.contains(drains), "{second} after {first}: {members}");
+        }
+    }
+    sound(&rig);
+}
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -3,6 +3,7 @@
 
 use claywinch::interface::Time;
 use claywinch::state::membership::cut::{Cut, Down};
+use claywinch::state::membership::drains::Decision;
 use claywinch::state::membership::lease::over_after;
 use claywinch::state::membership::node::{Body, Node, Output, Packet, Phase, TICK};
 use claywinch::state::membership::rings::Rings;
@@ -646,3 +647,138 @@
     assert_eq!(cut.judge(4 * SECOND, SECOND / 2, &own, view, &rings), None);
     assert!(cut.is_quiet());
 }
+
+/// Whether a node is out by the last view.
+fn is_drained(world: &World, node: &str) -> bool {
+    world.history.last().unwrap().drains.contains(node)
+}
+
+/// Guards against an operator's call that asks for what holds already, is repeated, and undoes a later call at another broker.
+#[test]
+fn a_call_that_changes_nothing_does_not_undo_a_later_one_at_another_broker() {
+    for seed in 50..54 {
+        for (first, second) in [(3, 4), (4, 0), (0, 1)] {
+            let mut w = together(seed, 5, 3);
+            for out in [true, false] {
+                assert!(w.drain(first, "node", !out));
+                w.run(SECOND * 3 / 10);
+                assert!(w.drain(second, "node", out));
+                w.run(3 * SECOND);
+                assert_eq!(is_drained(&w, "node"), out, "seed {seed}, {first} before {second}");
+                assert!(w.agree());
+            }
+            sound(&w);
+        }
+    }
+}
+
+/// Guards against an operator's call that was long on its way, or came twice, and undoes later ones.
+#[test]
+fn a_call_that_arrives_late_does_not_undo_later_ones() {
+    let mut w = together(55, 5, 3);
+    let late = Link { loss: 0.0, delay: (2 * SECOND, 2 * SECOND), twice: 1.0 };
+    w.links.extend((0..3).map(|voter| ((4, voter), late)));
+    assert!(w.drain(4, "node", true));
+    w.run(SECOND / 10);
+    for out in [true, false] {
+        assert!(w.drain(3, "node", out));
+        w.run(SECOND / 2);
+        assert_eq!(is_drained(&w, "node"), out);
+    }
+    w.run(10 * SECOND);
+    assert!(!is_drained(&w, "node"), "the late call came before these");
+    sound(&w);
+}
+
+/// Guards against an operator's call that is lost with the leader, or that its broker gives up after a cut that it outlasts.
+#[test]
+fn a_call_that_met_no_later_one_comes_into_force_after_a_cut_and_a_new_leader() {
+    for host in [0, 4] {
+        let mut w = together(56, 5, 3);
+        let others: Vec<usize> = (0..5).filter(|h| *h != host).collect();
+        w.cut(&[host], &others);
+        w.cut(&others, &[host]);
+        assert!(w.drain(host, "cut", true));
+        w.run(2 * SECOND);
+        w.links.clear();
+        w.run(3 * SECOND);
+        assert!(is_drained(&w, "cut"), "from {host}");
+        let leader = w.leader().unwrap();
+        let asked = if leader == host { others[0] } else { host };
+        assert!(w.drain(asked, "killed", true));
+        w.kill(leader);
+        w.run(8 * SECOND);
+        assert!(is_drained(&w, "killed"), "from {asked}");
+        sound(&w);
+    }
+}
+
+/// Guards against two calls at once that both count as done, and against an operator who is not told which of them holds.
+#[test]
+fn of_two_calls_at_once_one_gives_way_and_is_told() {
+    for seed in 60..70 {
+        let mut w = together(seed, 5, 3);
+        assert!(w.drain(3, "node", true) && w.drain(4, "node", false));
+        w.run(3 * SECOND);
+        let decided = |host: usize| w.hosts[host].decided.iter().map(|d| d.decision).collect::<Vec<_>>();
+        let (out, back) = (decided(3), decided(4));
+        let (agreed, gave_way) = (vec![Decision::Agreed], vec![Decision::GaveWay]);
+        let held = if is_drained(&w, "node") { (agreed, gave_way) } else { (gave_way, agreed) };
+        assert_eq!((out, back), held, "seed {seed}");
+        // Whoever gave way can call again.
+        let (loser, wanted) = if is_drained(&w, "node") { (4, false) } else { (3, true) };
+        assert!(w.drain(loser, "node", wanted));
+        w.run(2 * SECOND);
+        assert_eq!(is_drained(&w, "node"), wanted);
+        sound(&w);
+    }
+}
+
+/// Guards against a broker whose second call gives way to its own first one.
+#[test]
+fn of_two_calls_at_one_broker_the_second_holds() {
+    for (seed, host) in [(70, 0), (71, 1), (72, 4)] {
+        for wait in [0, SECOND / 50, SECOND / 5] {
+            let mut w = together(seed, 5, 3);
+            assert!(w.drain(host, "node", true));
+            w.run(wait);
+            assert!(w.drain(host, "node", false));
+            w.run(3 * SECOND);
+            assert!(!is_drained(&w, "node"), "host {host} after {wait}");
+            let last = w.hosts[host].decided.last().map(|d| (d.out, d.decision));
+            assert_eq!(last, Some((false, Decision::Agreed)));
+            sound(&w);
+        }
+    }
+}
+
+/// Guards against any order of calls, losses, late and doubled packets in which a call that was agreed on is undone before
+/// another call is made.
+#[test]
+fn a_call_that_was_agreed_on_holds_until_the_next_one_under_drawn_faults() {
+    let count = std::env::var("CLAYWINCH_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(20);
+    let mut agreed = 0;
+    for seed in 0..count {
+        let mut w = together(seed, 5, 3);
+        w.link = Link { loss: 0.2, delay: (100, SECOND), twice: 0.3 };
+        for step in 0..30 {
+            let (host, out) = (w.chance.random_range(0..5usize), w.chance.random());
+            let (now, before) = (w.now, w.hosts[host].decided.len());
+            w.hosts[host].node.as_mut().unwrap().drain(now, "node".into(), out, SECOND);
+            let decided = |w: &World| w.hosts[host].decided.len() > before;
+            w.until(SECOND / 20, 2 * SECOND, decided).expect("decided, or given up");
+            if w.hosts[host].decided.last().map(|d| d.decision) != Some(Decision::Agreed) {
+                continue;
+            }
+            agreed += 1;
+            let rest = w.chance.random_range(0..4 * SECOND);
+            w.run(rest);
+            assert_eq!(is_drained(&w, "node"), out, "seed {seed}, step {step}");
+        }
+        w.link = Link::default();
+        w.run(10 * SECOND);
+        assert!(w.agree(), "seed {seed}: {:?}", w.phases());
+        sound(&w);
+    }
+    assert!(agreed > 4 * count, "{agreed} calls were agreed on");
+}
