Keep an earlier ban of another process from holding over a later call

While two processes of a broker run, OFFLINE at one and within 0.1 s ONLINE at the other, both answered 200, left the node out in both; the other way round the node was used after it had been taken out.

Cause: a call that changes nothing in the process that receives it was not recorded, so the other one's earlier call counted as the last one. Now every accepted call is recorded with its time; those that return a node are bounded like bans.

Evidence: the new test failed before at the first exchange, and passes.

--- a/src/state/maintenance.rs
+++ b/src/state/maintenance.rs
@@ -10,7 +10,7 @@
 
 /// Maximum number of remembered node names. They are kept to reject calls for a node that was never listed.
 const MAX_NAMES: usize = 8192;
-/// Maximum number of nodes that may be out of service at once.
+/// Maximum number of nodes that may be out of service at once, and of calls that returned a node and are kept.
 const MAX_OUT: usize = 1024;
 /// How long a call that returned a node to service is kept, so that another process of the broker still learns of it.
 const RETURN_RETENTION: Time = 60_000_000;
@@ -48,6 +48,11 @@
     TooMany,
 }
 
+/// Returns whether a call is still kept.
+fn is_kept(now: Time, call: &Ban) -> bool {
+    call.out || now - call.at < RETURN_RETENTION
+}
+
 /// The nodes as last listed, and which of them operators have taken out of service.
 #[derive(Debug, Default)]
 pub struct Maintenance {
@@ -58,7 +63,8 @@
     /// The names by that sequence number, for evicting the one listed longest ago.
     by_last_listing: BTreeMap<u64, String>,
     last_listing: u64,
-    /// The last call by name of the node; a call that returned a node expires after [`RETURN_RETENTION`].
+    /// The last call by name of the node, also if it changed nothing: it must hold over an earlier call that another process
+    /// received. A call that returned a node expires after [`RETURN_RETENTION`].
     bans: BTreeMap<String, Ban>,
     /// Names of the nodes that the cluster's view marks as out of service at all brokers.
     shared: BTreeSet<String>,
@@ -85,7 +91,7 @@
                 _ => drop(self.nodes.insert(listed.member.entry.node, listed)),
             }
         }
-        self.bans.retain(|_, ban| ban.out || now - ban.at < RETURN_RETENTION);
+        self.bans.retain(|_, ban| is_kept(now, ban));
         members
     }
 
@@ -195,7 +201,7 @@
         let later = |ban: &Ban, own: &BTreeMap<String, Ban>| own.get(&ban.name).is_none_or(|o| ban.at > o.at);
         let mut members = Vec::new();
         for ban in bans.into_iter().take(2 * MAX_OUT) {
-            if later(&ban, &self.bans) && (ban.out || self.bans.contains_key(&ban.name)) {
+            if later(&ban, &self.bans) && is_kept(now, &ban) {
                 members.extend(self.record(now, ban));
             }
         }
@@ -203,19 +209,26 @@
     }
 
     fn record(&mut self, now: Time, ban: Ban) -> Vec<ListedNode> {
-        let (before, node) = (self.bans.get(&ban.name).is_some_and(|b| b.out), ban.node);
-        if ban.out == before && before {
-            return Vec::new();
-        }
-        let after = ban.out;
-        if after || before {
+        let before = self.bans.get(&ban.name).is_some_and(|b| b.out);
+        let (node, after) = (ban.node, ban.out);
+        if before != after {
             tracing::info!(node = ban.name, out = after, "maintenance");
-            self.bans.insert(ban.name.clone(), ban);
         }
+        self.bans.insert(ban.name.clone(), ban);
+        self.evict_return();
         let listed = self.nodes.get(&node).filter(|_| before != after);
         listed.map(|listed| self.with_maintenance(now, listed)).into_iter().collect()
     }
 
+    /// Removes the oldest call that returned a node if there are too many of these.
+    fn evict_return(&mut self) {
+        let returns = || self.bans.values().filter(|ban| !ban.out);
+        if returns().count() > MAX_OUT {
+            let oldest = returns().min_by_key(|ban| ban.at).map(|ban| ban.name.clone());
+            oldest.map(|name| self.bans.remove(&name));
+        }
+    }
+
     /// Leaves nodes that started less than `cold` ago to the succeeding process; `None` uses them here again. Returns
     /// the affected nodes, for the planner.
     pub fn exclude_cold(&mut self, now: Time, cold: Option<Time>) -> Vec<ListedNode> {
@@ -379,6 +392,41 @@
         assert_eq!(states(&old.merge(2 * S, new.bans())), [(1, NodeState::Up)]);
     }
 
+    /// Guards against a call that changes nothing in the process that receives it and is therefore undone by an earlier one
+    /// that the other process received just before.
+    #[test]
+    fn a_call_that_changes_nothing_holds_over_an_earlier_one_of_the_other_process() {
+        let mut pair = [Maintenance::default(), Maintenance::default()];
+        for maintenance in &mut pair {
+            maintenance.apply_list(0, ListKind::Full, vec![up("a", 1)]);
+        }
+        let [old, new] = &mut pair;
+        old.set_out(S, "a", true).expect("listed");
+        assert!(new.set_out(2 * S, "a", false).expect("listed").is_empty(), "it is in use there");
+        assert!(new.merge(3 * S, old.bans()).is_empty(), "the earlier call");
+        assert_eq!(states(&old.merge(3 * S, new.bans())), [(1, NodeState::Up)]);
+        old.set_out(4 * S, "a", true).expect("listed");
+        assert_eq!(states(&new.merge(4 * S, old.bans())), [(1, NodeState::Draining)]);
+        new.set_out(5 * S, "a", false).expect("listed");
+        assert!(old.set_out(6 * S, "a", true).expect("listed").is_empty(), "it is out there");
+        assert!(old.merge(7 * S, new.bans()).is_empty(), "the earlier call");
+        assert_eq!(states(&new.merge(7 * S, old.bans())), [(1, NodeState::Draining)]);
+    }
+
+    /// Guards against calls that return nodes and crowd out those that took nodes out.
+    #[test]
+    fn calls_that_return_nodes_are_bounded() {
+        let mut maintenance = Maintenance::default();
+        let nodes: Vec<NamedNode> = (0..3 * MAX_OUT as u32).map(|i| up(&format!("n{i:05}"), i)).collect();
+        maintenance.apply_list(0, ListKind::Full, nodes);
+        maintenance.set_out(S, "n03071", true).expect("listed");
+        for i in 0..3 * MAX_OUT - 1 {
+            maintenance.set_out(S + i as Time, &format!("n{i:05}"), false).expect("listed");
+        }
+        let bans = maintenance.bans();
+        assert!(bans.len() <= 2 * MAX_OUT && bans.iter().any(|ban| ban.out), "{}", bans.len());
+    }
+
     /// Guards against two processes that each use the full budget of a cold node.
     #[test]
     fn cold_nodes_are_left_to_the_succeeding_process() {
