Propose the NBD file on SIGHUP only if it was written since it was read

SIGHUP is for the settings and the NBD file alike. With peers, one that was meant for the settings proposed the NBD file of that broker as it had stood since its start, and undid what other peers had changed.

Cause: an unchanged file was put forward again as a change, against the last revision, so revisions do not catch it. Now it is proposed if its inode, time or content differs from when it was last read; written again with the same content it is a change. Without peers nothing changes.

In node.rs the time of the next request is named for what it is.

--- a/src/run/mod.rs
+++ b/src/run/mod.rs
@@ -13,6 +13,7 @@
 pub mod listen;
 pub mod logging;
 pub mod nbd;
+pub mod nbd_file;
 pub mod passed;
 pub mod peers;
 pub mod planner_driver;
--- a/src/run/nbd.rs
+++ b/src/run/nbd.rs
@@ -2,10 +2,10 @@
 
 use super::catalogue::{Deploy, Shared};
 use super::error::StartError;
-use super::folder::run_blocking;
 use super::front::{sweep, Front};
 use super::limits::Limits;
 use super::listen::listen;
+use super::nbd_file::{NbdFile, Reread};
 use super::peers::{Peers, SharedStatus};
 use super::planner_driver::PlannerDriver;
 use super::settings::Bounds;
@@ -167,7 +167,8 @@
         let (own, first) = (deploy.own_peer, encode(&deploy.shared));
         let status = SharedStatus::default();
         agreement_status = Some(status.clone());
-        let peers = Peers { own, all: deploy.peers, agreement, wishes, first, status };
+        let all = deploy.peers.clone();
+        let peers = Peers { own, all, agreement, wishes, first, status };
         peers.start(move |value| match serde_json::from_slice(&value) {
             Ok(shared) => applied.apply(&shared),
             Err(error) => tracing::error!(%error, "peers agreed on something else than a configuration"),
@@ -179,14 +180,25 @@
         applied.apply(&deploy.shared);
         Box::new(move |shared| applied.apply(&shared))
     };
+    let agrees = agreement_status.is_some();
     tokio::task::spawn_local(async move {
+        let mut file = NbdFile::new(path, deploy.shared).await;
         while hangup.recv().await.is_some() {
-            let file = path.clone();
-            match run_blocking(move || Deploy::load(&file)).await {
-                Some(Ok(Some(new))) => news(new.shared),
-                Some(Ok(None)) => tracing::error!(path, "configuration is gone; the last one stays"),
-                Some(Err(error)) => tracing::error!(%error, "configuration not taken"),
-                None => tracing::error!(path, "configuration was not read"),
+            match file.reread().await {
+                Reread::Written(shared) => news(shared),
+                // The signal was for other files: what has been agreed on since stays.
+                Reread::Untouched(_) if agrees => {
+                    tracing::info!(
+                        path = file.path(),
+                        "configuration not written since it was read: not proposed"
+                    );
+                }
+                Reread::Untouched(shared) => news(shared),
+                Reread::Missing => {
+                    tracing::error!(path = file.path(), "configuration is gone; the last one stays");
+                }
+                Reread::Invalid(error) => tracing::error!(%error, "configuration not taken"),
+                Reread::Unread => tracing::error!(path = file.path(), "configuration was not read"),
             }
         }
     });
--- a/src/state/membership/node.rs
+++ b/src/state/membership/node.rs
@@ -190,7 +190,8 @@
     repeat: Time,
     join: Time,
     look: Time,
-    wish: Time,
+    /// When open calls are asked for again.
+    next_request: Time,
     out: Vec<Output>,
 }
 
@@ -233,7 +234,7 @@
             repeat: now,
             join: now,
             look: now,
-            wish: now,
+            next_request: now,
             out: Vec::new(),
             set,
             life,
@@ -295,7 +296,7 @@
     pub fn drain(&mut self, now: Time, name: String, out: bool, patience: Time) -> Option<CallId> {
         let (call, replaced) = self.calls.make(&self.view, &name, out, now + patience)?;
         self.decided(replaced);
-        self.wish = now;
+        self.next_request = now;
         Some(call)
     }
 
@@ -482,8 +483,8 @@
                 self.granted(now, grant, &own);
             }
         }
-        if now >= self.wish {
-            self.wish = now + self.set.probe / 2;
+        if now >= self.next_request {
+            self.next_request = now + self.set.probe / 2;
             for Request { node, out, base } in self.calls.requests() {
                 let packet = Packet { view: base, ..self.packet(Body::Drain(node.clone(), out)) };
                 let others = self.voters().into_iter().filter(|to| *to != self.set.address);
@@ -879,7 +880,7 @@
             self.unseated.clear();
             // Whoever made a call repeats it.
             self.drains.clear();
-            self.wish = now;
+            self.next_request = now;
         }
         if council.leads() && council.view().number == self.view.number {
             self.lead(now, &mut council)?;
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -63,6 +63,37 @@
     std::fs::remove_dir_all(kept).unwrap();
 }
 
+/// Returns how often a configuration with this many nodes came into force.
+fn times_in_force(broker: &Broker, nodes: usize) -> usize {
+    broker.log().matches(&format!("configuration in force exports=0 nodes={nodes}")).count()
+}
+
+/// Guards against a SIGHUP for the settings that proposes an NBD file of before a change at another peer, and so undoes it.
+#[test]
+fn a_file_that_was_not_written_since_it_was_read_is_not_proposed() {
+    let kept = std::env::temp_dir().join(format!("claywinch-peers-untouched-{}", std::process::id()));
+    std::fs::create_dir_all(&kept).unwrap();
+    let peers: Vec<String> = (0..3).map(|_| free_address()).collect();
+    let (_discovery, discovery) = Discovery::start("");
+    let text = |own: usize, nodes: usize| file(own, &peers, &kept, nodes);
+    let start = |own: usize| {
+        Broker::start(&format!("peer-untouched-{own}"), SETTINGS, &discovery, Some(&text(own, 1)))
+    };
+    let brokers: Vec<Broker> = (1..=3).map(start).collect();
+    until("the first configuration", || brokers.iter().all(|b| in_force(b, 1)));
+    brokers[1].reload(&text(2, 2));
+    until("the second configuration", || brokers.iter().all(|b| in_force(b, 2)));
+    brokers[0].reconfigure(&configuration(SETTINGS, &discovery));
+    until("the settings are read", || brokers[0].log().contains("configuration read anew"));
+    thread::sleep(REPEATS);
+    assert!(brokers.iter().all(|b| times_in_force(b, 1) == 1), "the second one stays in force");
+    // The same file, written again, is a change.
+    brokers[0].reload(&text(1, 1));
+    until("the first one again", || brokers.iter().all(|b| times_in_force(b, 1) == 2));
+    drop(brokers);
+    std::fs::remove_dir_all(kept).unwrap();
+}
+
 /// Starts a proxy before an address. While it is cut, its connections stay open and carry nothing; they end with the cut.
 fn start_proxy(before: String, cut: Arc<AtomicBool>) -> String {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
