--- a/src/state/membership/mod.rs
+++ b/src/state/membership/mod.rs
@@ -8,6 +8,7 @@
 pub mod edges;
 pub mod lease;
 pub mod node;
+pub mod packet;
 pub mod rings;
 pub mod snapshot;
 
--- a/src/state/membership/node.rs
+++ b/src/state/membership/node.rs
@@ -6,13 +6,14 @@
 use super::drains::{CallId, Calls, Decided, Decision, Request};
 use super::edges::{Edges, Subject};
 use super::lease::{enough, Lease};
+pub use super::packet::{Body, Grant, Packet};
 use super::rings::{subjects, Rings, RINGS};
 use super::snapshot::{Fetch, Page, Served, PAGE};
 use super::{mix, Member, Name, Seat, Settings, View, MOST_DRAINS, MOST_MEMBERS, MOST_NAME};
 use crate::interface::Time;
 use protobuf::Message as _;
 use raft::eraftpb::{ConfChangeType, Message};
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
@@ -41,74 +42,6 @@
 /// Members that have gone and are still shown.
 const MOST_DEPARTED: usize = 32;
 
-/// What one broker says to another.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub enum Body {
-    /// Asks whether the other lives; when it was sent, by the sender's clock.
-    Probe(Time),
-    /// Answers that probe.
-    Ack(Time),
-    /// Asks for what has followed the view of that number; for a later one whole, if deltas do not lead on.
-    Ask(u64, bool),
-    /// Deltas that committed views have brought, one after another; none, where only the head is meant.
-    Changes(Vec<Arc<Delta>>),
-    /// A page of a snapshot.
-    Page(Page),
-    /// Asks for those pages of the snapshot of that number.
-    Fetch(u64, Vec<u16>),
-    /// Asks to be taken in, knowing the view of that number; the seat that it has kept.
-    Join(u64, Option<u64>),
-    /// Goes.
-    Leave,
-    /// Those of the sender's subjects whose edges are down.
-    Down(Down),
-    /// Asks for a lease, knowing the view of that number; when, by the sender's clock.
-    Renew(Time, u64),
-    /// A voter's word.
-    Grant(Grant),
-    /// Takes a node out, or puts it back. The packet's view is the one that the call was made against.
-    Drain(String, bool),
-    /// For the consensus.
-    Raft(Vec<u8>),
-    /// A founder's word: whether it has founded, and the lives (by address) that it counted on.
-    Founder(bool, Roll),
-}
-
-/// A voter's word: beyond the view of that number, these deltas, and these nodes that views take out which are not known to be
-/// committed yet, it has written down nothing that takes a node out.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct Grant {
-    /// The time of the question.
-    pub at: Time,
-    /// The view that was known to who asked.
-    pub number: u64,
-    /// The voter's number.
-    pub seat: u64,
-    /// What was committed since.
-    pub changes: Vec<Arc<Delta>>,
-    /// Nodes that are out by what may be committed.
-    pub pending: BTreeSet<String>,
-}
-
-/// A message. Whatever the body, it tells how far its sender is.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Packet {
-    /// The cluster's name.
-    pub cluster: String,
-    /// The sender's name.
-    pub from: Name,
-    /// Where the sender is reached.
-    pub address: String,
-    /// The sender's life.
-    pub life: u64,
-    /// The sender's incarnation; 0 while it belongs to no view.
-    pub incarnation: u64,
-    /// The number of the last view that the sender knows.
-    pub view: u64,
-    /// What it says.
-    pub body: Body,
-}
-
 /// Where a broker stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "lowercase")]
