Let a call for the opposite of an open one give way; log a pending change

A call that replaced an open one at its own broker was asked for again behind whatever came first, and so could undo a later call of another broker. Now it is answered 400 at once while the other one is open.

--- a/src/state/agreement/mod.rs
+++ b/src/state/agreement/mod.rs
@@ -186,6 +186,7 @@
         self.last_number += 1;
         let (proposer, number, base) = (self.id, self.last_number, self.revision);
         let change = Change { proposer, number, base, initial: false };
+        tracing::info!(made_against = base, "change of the configuration pending");
         self.set_pending(Some(Pending { change, value }));
     }
 
--- a/src/state/membership/drains.rs
+++ b/src/state/membership/drains.rs
@@ -15,7 +15,7 @@
 pub enum Decision {
     /// A view did what it asked for.
     Agreed,
-    /// Another call about the node came before it.
+    /// Another call about the node came first.
     GaveWay,
     /// No view decided it in its time. One that has been asked for may still come.
     Expired,
@@ -43,8 +43,6 @@
     base: u64,
     /// Whether the node was out in that view.
     was_out: bool,
-    /// Whether it replaced an open call for the opposite, which may still be agreed on.
-    replaces: bool,
     end: Time,
 }
 
@@ -73,8 +71,9 @@
 }
 
 impl Calls {
-    /// Makes a call against a view; it is open until `end` at most. Returns its number, and the open call for the opposite
-    /// that it replaces. An open call for the same is joined. Returns `None` if too many calls are open.
+    /// Makes a call against a view; it is open until `end` at most. An open call for the same is joined. While one for the
+    /// opposite is open, which may already be on its way to a view, the new call gives way to it at once. Returns the number of
+    /// the call, and its decision in that case; `None` if too many calls are open.
     pub fn make(
         &mut self,
         view: &View,
@@ -82,27 +81,28 @@
         out: bool,
         end: Time,
     ) -> Option<(CallId, Option<Decided>)> {
-        let same = self.open.get_mut(node).filter(|open| open.out == out);
-        if let Some(call) = same {
-            call.end = call.end.max(end);
-            return Some((call.id, None));
+        if let Some(open) = self.open.get_mut(node).filter(|open| open.out == out) {
+            open.end = open.end.max(end);
+            return Some((open.id, None));
         }
-        let replaced = self.open.remove(node).map(|open| open.decided(node, Decision::GaveWay));
         if self.open.len() >= MOST_DRAINS {
             return None;
         }
         self.last_id += 1;
-        let (id, base, replaces) = (self.last_id, view.number, replaced.is_some());
-        let was_out = view.drains.contains(node);
-        self.open.insert(node.to_string(), Call { id, out, base, was_out, replaces, end });
-        Some((id, replaced))
+        let (base, was_out) = (view.number, view.drains.contains(node));
+        let call = Call { id: self.last_id, out, base, was_out, end };
+        if self.open.contains_key(node) {
+            return Some((call.id, Some(call.decided(node, Decision::GaveWay))));
+        }
+        self.open.insert(node.to_string(), call);
+        Some((self.last_id, None))
     }
 
     /// Applies a view that has come into force, and the delta that led to it; `None` if it came whole. Returns the calls that
     /// it decides.
     pub fn apply(&mut self, view: &View, delta: Option<&Delta>) -> Vec<Decided> {
         let changes = delta.map_or_else(|| self.changes_of(view), |delta| delta.drains.clone());
-        changes.iter().filter_map(|(node, out)| self.apply_one(view, node, *out)).collect()
+        changes.iter().filter_map(|(node, out)| self.apply_one(node, *out)).collect()
     }
 
     /// Returns the nodes of open calls that a view shows otherwise than the one that the call was made against.
@@ -112,15 +112,10 @@
     }
 
     /// Applies a call about one node that a view contains.
-    fn apply_one(&mut self, view: &View, node: &str, out: bool) -> Option<Decided> {
-        let call = self.open.get_mut(node)?;
-        if call.out != out && call.replaces {
-            // The call that it replaced has come first.
-            (call.base, call.was_out, call.replaces) = (view.number, out, false);
-            return None;
-        }
+    fn apply_one(&mut self, node: &str, out: bool) -> Option<Decided> {
+        let call = self.open.remove(node)?;
         let decision = if call.out == out { Decision::Agreed } else { Decision::GaveWay };
-        self.open.remove(node).map(|call| call.decided(node, decision))
+        Some(call.decided(node, decision))
     }
 
     /// Ends the calls whose time is over.
--- a/src/state/membership/node.rs
+++ b/src/state/membership/node.rs
@@ -227,8 +227,8 @@
     /// Asks for a node to be taken out everywhere, or put back, until a view decides that, for so long. What becomes of the
     /// call is an [`Output::Decided`] with the number that is returned; there is none if too many calls are open.
     pub fn drain(&mut self, now: Time, name: String, out: bool, patience: Time) -> Option<CallId> {
-        let (call, replaced) = self.calls.make(&self.view, &name, out, now + patience)?;
-        self.decided(replaced);
+        let (call, decided) = self.calls.make(&self.view, &name, out, now + patience)?;
+        self.decided(decided);
         self.next_request = now;
         Some(call)
     }
--- a/src/wire/admin/handler.rs
+++ b/src/wire/admin/handler.rs
@@ -22,9 +22,7 @@
 
 /// Why the cluster did not do what a call asked for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-#[error(
-    "gave way to another call about that node, which was agreed on first; ask again if it is still wanted"
-)]
+#[error("gave way to another call about that node, which came first; ask again if it is still wanted")]
 pub struct GaveWay;
 
 /// What the cluster agreed on: the milliseconds until a change is in force everywhere.
