Carry a request out on its own export only, whatever the configuration becomes

What callers saw: an export was taken out of the NBD file with SIGHUP while requests for it were open.

Cause: requests knew their export by a number; a link looked the name up when it was opened, found none, and asked the node for the empty name, which is its default export. Nothing looked again at what the planner held when the configuration changed: writes also went on to the old shard of an export that had moved, past the end of one made smaller, and without sums after sums were switched on; the keeper took its own old reads and writes of pages for new ones.

Change: a request carries the export it was made for; links are opened for an ExportName, which only that gives and which has no default. A new configuration revokes the requests that it does not hold for: what no node has begun to receive is refused, the rest ends as its attempt does. The keeper drops its tasks with the export, and counts another shard as another export.

--- a/src/run/catalogue.rs
+++ b/src/run/catalogue.rs
@@ -7,9 +7,10 @@
 use crate::state::planner::ListedNode;
 use crate::wire::discovery::NodeNumbers;
 use crate::wire::nbd::server::{Catalogue, Export, Kind};
-use crate::wire::nbd::SUMS_SUFFIX;
+use crate::wire::nbd::ExportName;
 use serde::{Deserialize, Serialize};
 use std::path::PathBuf;
+use std::rc::Rc;
 
 /// The whole file.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -357,18 +358,20 @@
             if !e.size.is_multiple_of(BLOCK) {
                 return wrong("size must be a multiple of 4096");
             }
-            let companion = format!("{}{SUMS_SUFFIX}", e.name);
-            if self.exports.iter().any(|other| other.name == companion) {
+            let companion = ExportName::new(&e.name).companion();
+            if self.exports.iter().any(|other| other.name == companion.as_str()) {
                 return wrong("its companion has the name of another export");
             }
             let shape = Geometry { blocks: e.size / BLOCK, brokers: deploy.brokers as u8 };
             let late = micros(deploy.integrity.late_ms);
-            Ok(Facts { name: e.name.clone(), shape, broker: own - 1, late })
+            Ok(Facts { name: e.name.clone(), shard: e.shard, shape, broker: own - 1, late })
         };
         let export = |e: &ExportFile| {
             let plan = deploy.shared.plans.iter().position(|p| p.name == e.plan);
-            Ok(Some(Export {
-                name: e.name.clone(),
+            let name = ExportName::new(&e.name);
+            Ok(Some(Rc::new(Export {
+                companion: name.companion(),
+                name,
                 size: e.size,
                 read_only: e.read_only,
                 shard: e.shard,
@@ -379,7 +382,7 @@
                 most_units: MOST_UNITS,
                 scrub: e.integrity.and_then(|_| deploy.scrubs(&e.name)),
                 sums: e.integrity.map(|_| facts(e)).transpose()?,
-            }))
+            })))
         };
         let never = |name: &str| deploy.classes.iter().any(|c| c.name == name && c.repeat == Repeat::Never);
         if let Some(e) = self.exports.iter().find(|e| !e.read_only && !never(&e.write)) {
--- a/src/run/nbd.rs
+++ b/src/run/nbd.rs
@@ -94,10 +94,12 @@
             Ok(catalogue) => catalogue,
             Err(reason) => return tracing::error!(reason, "configuration not taken"),
         };
-        let renewed = self.exports.borrow().renewed(catalogue);
-        *self.exports.borrow_mut() = Rc::new(renewed);
+        let renewed = Rc::new(self.exports.borrow().renewed(catalogue));
+        *self.exports.borrow_mut() = renewed.clone();
         let members = shared.members(&mut self.numbers);
         tracing::info!(exports = shared.exports.len(), nodes = members.len(), "configuration in force");
+        // Ahead of the list, which has the exports' sums opened: what is asked for them holds under this configuration.
+        let _ = self.planner.send(Input::Revoke(Box::new(move |request| renewed.revokes(request))));
         let _ = self.planner.send(Input::Nodes(ListKind::Full, members));
     }
 }
@@ -132,10 +134,7 @@
         reply_budget: BufferBudget::new(place.limits.room),
         permit: place.permit,
     };
-    let names = exports.clone();
-    tokio::task::spawn_local(
-        driver.run(move |lane| Node::new(names.borrow().name(lane).unwrap_or_default().into())),
-    );
+    tokio::task::spawn_local(driver.run(Node::new));
     let slots = ClientSlots::default();
     let front = Front {
         listener: listen(&address)?,
--- a/src/run/planner_driver.rs
+++ b/src/run/planner_driver.rs
@@ -5,7 +5,7 @@
 use crate::state::buffer_budget::BufferBudget;
 use crate::state::interceptor::Interceptor;
 use crate::state::planner::{AttemptEnd, Effect, Input, Planner, Wire};
-use crate::state::pool::{ChannelKind, LinkId};
+use crate::state::pool::LinkId;
 use crate::wire::clock::LoopClock;
 use crate::wire::link::{Exchange, LinkCommand, LinkTask, Permit};
 use std::cell::Cell;
@@ -50,7 +50,7 @@
 
 impl<W: Wire, G: Interceptor<W>> PlannerDriver<W, G> {
     /// Runs turns until the process ends. `exchange` creates the protocol state of a new link of a channel kind.
-    pub async fn run<X: Exchange<W>>(mut self, exchange: impl Fn(ChannelKind) -> X) {
+    pub async fn run<X: Exchange<W>>(mut self, exchange: impl Fn(W::Channel) -> X) {
         let mut links: HashMap<LinkId, UnboundedSender<LinkCommand<W>>> = HashMap::new();
         let (mut inputs, mut taken, mut effects) = (Vec::new(), Vec::new(), Vec::new());
         let mut ended: Option<oneshot::Sender<()>> = None;
@@ -98,14 +98,14 @@
             }
             for effect in effects.drain(..) {
                 match effect {
-                    Effect::Open(id, _, lane, address) => {
+                    Effect::Open(id, _, channel, address) => {
                         let (sender, commands) = unbounded_channel();
                         links.insert(id, sender);
                         let task = LinkTask {
                             id,
                             address,
                             connect_timeout: self.connect_timeout.get(),
-                            exchange: exchange(lane),
+                            exchange: exchange(channel),
                             commands,
                             planner: self.input_sender.clone(),
                             loop_clock: self.loop_clock.clone(),
--- a/src/run/start.rs
+++ b/src/run/start.rs
@@ -154,7 +154,7 @@
         reply_budget: budget.clone(),
         permit: permit.clone(),
     };
-    tokio::task::spawn_local(driver.run(move |_| Node::new(windows.clone())));
+    tokio::task::spawn_local(driver.run(move |()| Node::new(windows.clone())));
     let common = Rc::new(SharedState::new(terms, budget, phases.clone()));
     let (moved, address) = watch::channel(config.discovery);
     let follow = ConfigReloader {
--- a/src/state/integrity/keeper/mod.rs
+++ b/src/state/integrity/keeper/mod.rs
@@ -11,7 +11,7 @@
 use super::geometry::{Geometry, GROUP, PAGE};
 use super::page::{decode, Page, Waiting};
 use super::verdict::{is_bad, judge, stamp, state, State, Verdict};
-use crate::interface::{RequestId, Time};
+use crate::interface::{RequestId, ShardId, Time};
 use crate::state::deadlines::Deadlines;
 use bytes::Bytes;
 use std::collections::{BTreeMap, VecDeque};
@@ -61,6 +61,8 @@
 pub struct Facts {
     /// Its name: entries are bound to it.
     pub name: String,
+    /// The shard whose node holds it and its companion.
+    pub shard: ShardId,
     /// Its shape.
     pub shape: Geometry,
     /// Which of its brokers this one is, from 0.
@@ -326,7 +328,23 @@
     OpenWrite(VolumeId),
     Seal(VolumeId),
     Fronts(VolumeId),
-    Note,
+    Note(VolumeId),
+}
+
+impl Duty {
+    /// The export that it is for, unless that is known by its request alone.
+    fn volume(&self) -> Option<VolumeId> {
+        match self {
+            Duty::Look(volume, ..)
+            | Duty::Page(volume, _)
+            | Duty::OpenLook(volume, _)
+            | Duty::OpenWrite(volume)
+            | Duty::Seal(volume)
+            | Duty::Note(volume)
+            | Duty::Fronts(volume) => Some(*volume),
+            Duty::Data(_) | Duty::Flush(_) => None,
+        }
+    }
 }
 
 /// The keeper of all exports with sums of one front.
@@ -408,6 +426,7 @@
             let asks: Vec<RequestId> =
                 self.asks.iter().filter(|(_, a)| a.volume == id).map(|(id, _)| *id).collect();
             asks.into_iter().for_each(|ask| self.give_up(now, ask, 0, out));
+            self.drop_tasks_of(id, out);
             if let Some(volume) = self.volumes.remove(&id) {
                 for page in volume.pages.values() {
                     self.used.remove(&page.used);
@@ -437,6 +456,17 @@
         }
     }
 
+    /// Drops the tasks that are out for an export: what comes of them would be taken for something of the export that is
+    /// kept in its place next.
+    fn drop_tasks_of(&mut self, volume: VolumeId, out: &mut Vec<Effect>) {
+        let dropped: Vec<TaskId> =
+            self.tasks.iter().filter(|(_, duty)| duty.volume() == Some(volume)).map(|(id, _)| *id).collect();
+        for task in dropped {
+            self.tasks.remove(&task);
+            out.push(Effect::Drop(task));
+        }
+    }
+
     /// Takes what has happened.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Effect>) {
         match event {
@@ -659,7 +689,7 @@
             Duty::Page(volume, group) => self.page_written(now, volume, group, outcome, out),
             Duty::Flush(id) => self.flushed(id, outcome, out),
             Duty::Seal(id) => self.seal_noted(now, id, outcome, out),
-            Duty::Note => {}
+            Duty::Note(_) => {}
             Duty::Fronts(id) => self.fronts_seen(now, id, outcome),
             Duty::OpenLook(id, tries) => match outcome {
                 Outcome::Pages(pages) => self.opened(now, id, &pages, tries, out),
--- a/src/state/integrity/keeper/opening.rs
+++ b/src/state/integrity/keeper/opening.rs
@@ -191,7 +191,7 @@
         kept.front.scrubbed = block;
         let (shape, broker) = (kept.facts.shape, kept.facts.broker);
         let task = Task::Write(shape.front_page(broker), kept.front.encode(kept.seal, broker), false);
-        self.start(id, Duty::Note, task, now + PAGE_WITHIN, out);
+        self.start(id, Duty::Note(id), task, now + PAGE_WITHIN, out);
     }
 
     /// All clients are gone and none will come: what is out is waited for, and that nothing was left is noted, so
@@ -222,7 +222,7 @@
             kept.front.clean = true;
             let (shape, broker) = (kept.facts.shape, kept.facts.broker);
             let task = Task::Write(shape.front_page(broker), kept.front.encode(kept.seal, broker), true);
-            self.start(id, Duty::Note, task, now + OPEN_WITHIN, out);
+            self.start(id, Duty::Note(id), task, now + OPEN_WITHIN, out);
         }
     }
 }
--- a/src/state/planner.rs
+++ b/src/state/planner.rs
@@ -5,7 +5,7 @@
 
 use super::deadlines::{Deadlines, Lateness};
 use super::guard::{Guard, Repeats};
-use super::pool::{ChannelKind, LinkId, LinkSettings, Pick, Pool, PoolLimits, Sharing, SUPERSEDED_LINKS};
+use super::pool::{LinkId, LinkSettings, Pick, Pool, PoolLimits, Sharing, SUPERSEDED_LINKS};
 use crate::interface::{
     Action, Arrival, Effect as RequestEffect, Ending, Event, ListKind, NodeEntry, NodeId, NodeState,
 };
@@ -21,14 +21,14 @@
     type Request: Clone + 'static;
     /// A node's reply in the form in which the client gets it.
     type Reply: 'static;
+    /// What a link is opened for; see [`Pool`]. `()` in protocols in which every link carries every request.
+    type Channel: Clone + Ord + std::fmt::Debug + 'static;
 
     /// Whether several attempts may be in flight on one link at once.
     const SHARING: Sharing = Sharing::Multiplexed;
 
-    /// Returns the kind of link that can carry a request; see [`ChannelKind`].
-    fn channel_kind(_: &Self::Request) -> ChannelKind {
-        0
-    }
+    /// Returns the channel that a request needs.
+    fn channel(request: &Self::Request) -> Self::Channel;
 
     /// Returns whether the request's body is forwarded to the node while it is still being received from the client.
     /// The deadline of such a request is not known until its whole body has arrived.
@@ -128,6 +128,9 @@
     Here,
 }
 
+/// Tells which requests are meant.
+pub type RequestFilter<W> = Box<dyn Fn(&<W as Wire>::Request) -> bool>;
+
 /// An input of the planner: something that happened.
 pub enum Input<W: Wire> {
     /// A front accepted a request.
@@ -152,6 +155,9 @@
     LinkDown(LinkId, LinkEnd),
     /// An update of the node list.
     Nodes(ListKind, Vec<ListedNode>),
+    /// The requests that match are not to be sent any more, since the configuration under which they were accepted has
+    /// changed. Those that no node has begun to receive are refused; the others keep their attempt and get no further one.
+    Revoke(RequestFilter<W>),
     /// A probe of this node ended.
     Probed(NodeId, Ending, Option<f64>),
     /// New settings; see [`Event::Settings`].
@@ -173,8 +179,8 @@
 /// An effect of a turn. The caller carries out the effects in the order in which they were appended.
 #[derive(Debug)]
 pub enum Effect<W: Wire> {
-    /// Open a link of this kind to the node at this address.
-    Open(LinkId, NodeId, ChannelKind, String),
+    /// Open a link of this channel to the node at this address.
+    Open(LinkId, NodeId, W::Channel, String),
     /// Send an attempt on a link, within these time limits.
     Send(LinkId, AttemptId, AttemptTimes, W::Request),
     /// Withdraw an attempt that is not needed any more: it must not begin if it has not begun yet.
@@ -215,6 +221,8 @@
     tries: u32,
     /// How the last attempt of this request ended.
     last: Option<Ending>,
+    /// Whether the request may not be sent any more; see [`Input::Revoke`].
+    revoked: bool,
     shard: Option<ShardId>,
 }
 
@@ -260,7 +268,7 @@
     /// The `attempts` by the link that carries them. A link without attempts has no entry.
     attempts_on_link: BTreeMap<LinkId, BTreeSet<AttemptId>>,
     addresses: BTreeMap<NodeId, String>,
-    pool: Pool,
+    pool: Pool<W::Channel>,
     guard: Guard,
     deadlines: Deadlines<Deadline>,
     /// Events for the scheduler: first the events of this turn's inputs, then those that result from carrying out the
@@ -423,7 +431,14 @@
                     tracing::debug!(id, reason = "its client has gone", "not taken");
                     return;
                 }
-                let open = OpenRequest { request: ask.request, back: ask.back, tries: 0, last: None, shard };
+                let open = OpenRequest {
+                    request: ask.request,
+                    back: ask.back,
+                    tries: 0,
+                    last: None,
+                    revoked: false,
+                    shard,
+                };
                 self.close_request(ask.arrival.id);
                 self.requests.insert(ask.arrival.id, open);
                 *self.open_by_shard.entry(shard).or_default() += 1;
@@ -437,13 +452,11 @@
                     self.counts.gone += 1;
                     // Attempts that have not begun are withdrawn even if the settings forbid cancelling: the node has
                     // received nothing of them.
-                    let out = self.attempts.range((id, 0)..=(id, u32::MAX));
-                    effects.extend(
-                        out.filter_map(|(attempt_id, a)| Some(Effect::Withdraw(a.link?, *attempt_id))),
-                    );
+                    self.withdraw_attempts(id, effects);
                     self.events.push(Event::ClientGone(id));
                 }
             }
+            Input::Revoke(matches) => self.revoke(&*matches, effects),
             Input::AttemptEnded(link, attempt_id, end) => {
                 if let Some(at) = self.pool.answered(now, link) {
                     self.deadlines.insert(at, Deadline::Idle(link));
@@ -529,6 +542,40 @@
         }
     }
 
+    /// Has the links give back all attempts of a request that have not begun. Returns whether there are attempts.
+    fn withdraw_attempts(&self, id: RequestId, effects: &mut Vec<Effect<W>>) -> bool {
+        let mut attempts = self.attempts.range((id, 0)..=(id, u32::MAX)).peekable();
+        let any = attempts.peek().is_some();
+        effects.extend(attempts.filter_map(|(attempt_id, a)| Some(Effect::Withdraw(a.link?, *attempt_id))));
+        any
+    }
+
+    /// Refuses the requests that match, except those with an attempt in flight: only its link knows whether that has
+    /// begun, and it is refused when the link gives it back.
+    fn revoke(&mut self, matches: &dyn Fn(&W::Request) -> bool, effects: &mut Vec<Effect<W>>) {
+        let revoked = self.requests.iter_mut().filter(|(_, open)| matches(&open.request));
+        let revoked = revoked.map(|(id, open)| {
+            open.revoked = true;
+            *id
+        });
+        for id in revoked.collect::<Vec<RequestId>>() {
+            if !self.withdraw_attempts(id, effects) {
+                self.refuse_revoked(id);
+                self.events.push(Event::ClientGone(id));
+            }
+        }
+    }
+
+    /// Answers a revoked request that is not with any node: it never ran, or running it again is harmless, since the
+    /// scheduler would have sent it again.
+    fn refuse_revoked(&mut self, id: RequestId) {
+        let Some(open) = self.close_request(id) else { return };
+        tracing::debug!(id, tries = open.tries, "revoked");
+        self.counts.refused += 1;
+        // The send fails only if the front has gone, and then no answer is needed.
+        let _ = open.back.send((id, Answer::Refused(0)));
+    }
+
     /// Returns the time by which the next part of a reply must arrive on a link with this timeout. After the request's
     /// deadline a streamed reply gets at most [`LATE_REPLY_PAUSE`] between two parts.
     fn next_part_due(&self, now: Time, link: LinkId, timeout: Time) -> Time {
@@ -579,6 +626,10 @@
                 let _ = open.back.send((id, Answer::Served(reply)));
             }
         }
+        // The node has received nothing of it, and it is not to be sent again.
+        if end.ending == Ending::NotSent && self.requests.get(&id).is_some_and(|open| open.revoked) {
+            self.refuse_revoked(id);
+        }
         self.events.push(Event::Outcome(Outcome {
             id,
             attempt: number,
@@ -677,15 +728,20 @@
             tracing::debug!(id, attempt = attempt_id.1, node, ?after, "retry");
         }
         self.counts.sent += 1;
-        let request = open.request.clone();
-        let kind = W::channel_kind(&request);
+        let (request, revoked) = (open.request.clone(), open.revoked);
+        let channel = W::channel(&request);
         let mut attempt = Attempt { node, link: None, sent: now, until };
+        if revoked {
+            self.attempts.insert(attempt_id, attempt);
+            self.settle_attempt(now, attempt_id, AttemptEnd::without_reply(Ending::NotSent));
+            return;
+        }
         let Some(address) = self.addresses.get(&node) else {
             self.attempts.insert(attempt_id, attempt);
             self.settle_attempt(now, attempt_id, AttemptEnd::without_reply(Ending::Unreachable));
             return;
         };
-        let pick = self.pool.pick(now, node, kind, W::SHARING);
+        let pick = self.pool.pick(now, node, &channel, W::SHARING);
         if let Pick::Replace(_, over) = pick {
             effects.push(Effect::Close(over));
         }
@@ -693,7 +749,7 @@
             Pick::Use(link) => link,
             Pick::Open(link) | Pick::Replace(link, _) => {
                 self.counts.opened += 1;
-                effects.push(Effect::Open(link, node, kind, address.clone()));
+                effects.push(Effect::Open(link, node, channel, address.clone()));
                 link
             }
             Pick::Full => {
--- a/src/state/pool.rs
+++ b/src/state/pool.rs
@@ -5,9 +5,6 @@
 
 /// The number of a link; numbers are never reused.
 pub type LinkId = u64;
-/// The kind of a link, for protocols in which one connection serves only part of the requests to a node (an NBD
-/// connection serves one export). An attempt is sent only on a link of its kind.
-pub type ChannelKind = u32;
 
 /// The limits of a pool.
 #[derive(Debug, Clone, Copy)]
@@ -36,9 +33,9 @@
 
 /// The state of a link.
 #[derive(Debug)]
-struct Link {
+struct Link<C> {
     node: NodeId,
-    kind: ChannelKind,
+    channel: C,
     /// Number of attempts whose answers are outstanding, including withdrawn attempts.
     in_flight: usize,
     idle_since: Option<Time>,
@@ -101,12 +98,15 @@
 /// node, in microseconds.
 const CAP_MEMORY: Time = 5_000_000;
 
-/// All links of a planner.
+/// All links of a planner. `C` is the channel of a link: what its connection was opened for, in protocols in which one
+/// connection serves only part of the requests to a node (an NBD connection serves one export). An attempt is sent only
+/// on a link of its channel.
 #[derive(Debug)]
-pub struct Pool {
+pub struct Pool<C> {
     limits: PoolLimits,
-    links: BTreeMap<LinkId, Link>,
-    by_node: BTreeMap<(NodeId, ChannelKind), Vec<LinkId>>,
+    links: BTreeMap<LinkId, Link<C>>,
+    /// The links of each node by channel. Neither a node nor a channel without links has an entry.
+    by_node: BTreeMap<NodeId, BTreeMap<C, Vec<LinkId>>>,
     caps: BTreeMap<NodeId, Cap>,
     /// Idle links in the order in which they became idle.
     idle: BTreeSet<(Time, LinkId)>,
@@ -119,7 +119,7 @@
     next: LinkId,
 }
 
-impl Pool {
+impl<C: Clone + Ord> Pool<C> {
     /// Creates an empty pool.
     pub fn new(limits: PoolLimits) -> Self {
         Pool {
@@ -141,14 +141,15 @@
     ///
     /// Attempts share a link only with [`Sharing::Multiplexed`]: without identified answers, a second answer to one
     /// attempt would be taken for the answer to the next.
-    pub fn pick(&mut self, now: Time, node: NodeId, kind: ChannelKind, sharing: Sharing) -> Pick {
+    pub fn pick(&mut self, now: Time, node: NodeId, channel: &C, sharing: Sharing) -> Pick {
         let repeats = self.repeats_until.is_some_and(|until| until > now);
         let (rest, min_rest) =
             if repeats { (REST_AFTER_REPEATS, REST_AFTER_REPEATS) } else { (self.rest, MIN_REST) };
-        let ids = self.by_node.entry((node, kind)).or_default();
+        let channels = self.by_node.entry(node).or_default();
+        let ids = channels.entry(channel.clone()).or_default();
         let links = &mut self.links;
         // A link with unsolicited bytes is not used either: they show as a partial reply.
-        let quiet = |link: &Link| link.partial_until.is_none().then_some(link.idle_since).flatten();
+        let quiet = |link: &Link<C>| link.partial_until.is_none().then_some(link.idle_since).flatten();
         let rested = |id: &LinkId| quiet(&links[id]).is_some_and(|since| now - since >= rest);
         let idle = ids.iter().copied().filter(rested).max_by_key(|id| links[id].idle_since);
         let cap = self.caps.get(&node).filter(|c| c.until > now).map_or(usize::MAX, |c| c.links);
@@ -164,7 +165,7 @@
                 ids.push(id);
                 let link = Link {
                     node,
-                    kind,
+                    channel: channel.clone(),
                     in_flight: 1,
                     idle_since: None,
                     partial_until: None,
@@ -184,9 +185,7 @@
         let least_busy =
             || ids.iter().copied().filter(fits).min_by_key(|id| (links[id].in_flight, links[id].idle_since));
         let Some(id) = idle.or_else(least_busy) else {
-            if ids.is_empty() {
-                self.by_node.remove(&(node, kind));
-            }
+            self.forget_unused_channel(node, channel);
             return Pick::Full;
         };
         match links.get_mut(&id) {
@@ -259,20 +258,30 @@
         if let Some(since) = link.idle_since {
             self.idle.remove(&(since, id));
         }
-        let key = (link.node, link.kind);
-        let ids = self.by_node.entry(key).or_default();
-        ids.retain(|i| *i != id);
-        let others = ids.iter().filter(|i| self.links.get(i).is_some_and(|l| l.up)).count();
+        let mut others = 0;
+        if let Some(ids) = self.by_node.get_mut(&link.node).and_then(|c| c.get_mut(&link.channel)) {
+            ids.retain(|i| *i != id);
+            others = ids.iter().filter(|i| self.links.get(i).is_some_and(|l| l.up)).count();
+        }
         if connect_failed && !link.up && others > 0 {
             self.caps.retain(|_, cap| cap.until > now);
             self.caps.insert(link.node, Cap { links: others, until: now + CAP_MEMORY });
         }
-        if ids.is_empty() {
-            self.by_node.remove(&key);
-        }
+        self.forget_unused_channel(link.node, &link.channel);
         true
     }
 
+    /// Removes the entry of a channel that has no links, and that of its node if it was the last one.
+    fn forget_unused_channel(&mut self, node: NodeId, channel: &C) {
+        let Some(channels) = self.by_node.get_mut(&node) else { return };
+        if channels.get(channel).is_some_and(Vec::is_empty) {
+            channels.remove(channel);
+        }
+        if channels.is_empty() {
+            self.by_node.remove(&node);
+        }
+    }
+
     /// Records that this machine could not open a link: for a while no more links may be opened than exist now.
     pub fn note_open_failed(&mut self, now: Time) {
         self.own_cap = Some(Cap { links: self.links.len().max(1), until: now + OWN_CAP_MEMORY });
@@ -293,9 +302,9 @@
         self.links.iter().filter(|(_, link)| link.in_flight > 0).map(|(id, _)| *id)
     }
 
-    fn of(&self, node: NodeId, fits: impl Fn(&Link) -> bool) -> Vec<LinkId> {
-        let kinds = self.by_node.range((node, ChannelKind::MIN)..=(node, ChannelKind::MAX));
-        kinds.flat_map(|(_, ids)| ids).copied().filter(|id| fits(&self.links[id])).collect()
+    fn of(&self, node: NodeId, fits: impl Fn(&Link<C>) -> bool) -> Vec<LinkId> {
+        let channels = self.by_node.get(&node).into_iter().flat_map(BTreeMap::values);
+        channels.flatten().copied().filter(|id| fits(&self.links[id])).collect()
     }
 
     /// Records that a node has answered a request twice. Any other link may have a second answer on its way too, so this
--- a/src/wire/nbd.rs
+++ b/src/wire/nbd.rs
@@ -20,6 +20,9 @@
 use crate::state::integrity::State;
 use crate::state::planner::Wire;
 use bytes::{BufMut, Bytes, BytesMut};
+use server::Export;
+use std::fmt;
+use std::rc::Rc;
 use winnow::binary::{be_u16, be_u32, be_u64};
 use winnow::error::ErrMode;
 use winnow::{ModalResult, Parser, Partial};
@@ -72,8 +75,6 @@
 pub(crate) const SEND_FUA: u16 = 8;
 pub(crate) const CAN_MULTI_CONN: u16 = 256;
 
-/// Bit of an export's place that stands for its companion, which holds its sums.
-pub const SUMS: u32 = 1 << 31;
 /// What the name of a companion ends in.
 pub const SUMS_SUFFIX: &str = ".sums";
 
@@ -148,11 +149,52 @@
     Flush,
 }
 
+/// The name by which a node knows an export, or the companion that holds its sums. There is no default: the empty name
+/// would stand for whatever export the node has as its default.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ExportName(Rc<str>);
+
+impl ExportName {
+    /// The name of an export of the configuration.
+    pub fn new(name: &str) -> Self {
+        ExportName(name.into())
+    }
+
+    /// The name of the companion of the export of this name.
+    pub fn companion(&self) -> Self {
+        ExportName(format!("{self}{SUMS_SUFFIX}").into())
+    }
+
+    /// The name as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for ExportName {
+    fn fmt(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        formatter.write_str(&self.0)
+    }
+}
+
+/// What a request is carried out on; links are to one of them each.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Target {
+    /// The export itself.
+    Data,
+    /// The companion that holds its sums.
+    Sums,
+}
+
 /// A request as a node gets it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Request {
-    /// Place of its export in the catalogue: links are to one export each.
-    pub export: u32,
+    /// Place of its export in the catalogue.
+    pub place: u32,
+    /// The export as it was when the request was made.
+    pub export: Rc<Export>,
+    /// What it is carried out on.
+    pub target: Target,
     /// What it does.
     pub operation: Operation,
     /// Whether a write is to be durable when it is answered.
@@ -197,9 +239,13 @@
 impl Wire for Nbd {
     type Request = Request;
     type Reply = Vec<Part>;
+    type Channel = ExportName;
 
-    fn channel_kind(request: &Request) -> u32 {
-        request.export
+    fn channel(request: &Request) -> ExportName {
+        match request.target {
+            Target::Data => request.export.name.clone(),
+            Target::Sums => request.export.companion.clone(),
+        }
     }
 }
 
--- a/src/wire/nbd/client.rs
+++ b/src/wire/nbd/client.rs
@@ -6,7 +6,6 @@
 use crate::wire::link::{ending_after_loss, Ended, Exchange};
 use crate::wire::outbox::Outbox;
 use std::collections::BTreeMap;
-use std::rc::Rc;
 
 /// How far the handshake has come: what is waited for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -35,7 +34,7 @@
 
 /// A connection to one export of a node.
 pub struct Node {
-    export: Rc<str>,
+    export: ExportName,
     phase: Phase,
     structured: bool,
     no_zeroes: bool,
@@ -49,7 +48,7 @@
 
 impl Node {
     /// A connection that has yet to shake hands.
-    pub fn new(export: Rc<str>) -> Self {
+    pub fn new(export: ExportName) -> Self {
         Node {
             export,
             phase: Phase::Greeting,
@@ -105,7 +104,7 @@
         match (self.phase, option, kind) {
             (Phase::Structured, option::STRUCTURED_REPLY, _) => {
                 self.structured = kind == reply::ACK;
-                write_option(&mut out, option::GO, &name_and_no_wishes(&self.export));
+                write_option(&mut out, option::GO, &name_and_no_wishes(self.export.as_str()));
                 self.phase = Phase::Go;
             }
             (Phase::Go, option::GO, reply::INFO) => {
@@ -123,7 +122,7 @@
             }
             (Phase::Go, option::GO, reply::ACK) => self.begin(),
             (Phase::Go, option::GO, reply::UNSUPPORTED) => {
-                write_option(&mut out, option::EXPORT_NAME, self.export.as_bytes());
+                write_option(&mut out, option::EXPORT_NAME, self.export.as_str().as_bytes());
                 self.phase = Phase::ExportName;
             }
             (Phase::Go, option::GO, kind) if kind & reply::ERROR != 0 => {
--- a/src/wire/nbd/guard.rs
+++ b/src/wire/nbd/guard.rs
@@ -1,8 +1,8 @@
 //! The interceptor that keeps the promise of exports with sums: client's requests for them are taken here, and the
 //! planner is asked for what the keeper wants in their place. Requests for other exports pass through.
 
-use super::server::{Export, Exports, Kind};
-use super::{Nbd, Operation, Part, Request, SUMS};
+use super::server::{Catalogue, Export, Exports};
+use super::{Nbd, Operation, Part, Request, Target};
 use crate::interface::{Arrival, NodeState, RequestId, ShardId, Time};
 use crate::state::integrity::{
     sums, Effect, Event, Facts, Keeper, Op, Outcome, State, Task, TaskId, VolumeId, BLOCK,
@@ -13,6 +13,7 @@
 use crate::wire::session::RequestIds;
 use bytes::{Bytes, BytesMut};
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
 
 /// A client's request that has no final answer.
@@ -40,6 +41,8 @@
 pub struct Guard {
     keeper: Keeper,
     exports: Exports,
+    /// The exports that the keeper was configured with last: its tasks are for these, whatever has come since.
+    configured: Rc<Catalogue>,
     numbers: RequestIds,
     back: AnswerSender<Vec<Part>>,
     answers: UnboundedReceiver<(RequestId, Answer<Vec<Part>>)>,
@@ -68,6 +71,7 @@
         Guard {
             keeper: Keeper::new(most_pages),
             exports,
+            configured: Rc::default(),
             numbers,
             back,
             answers,
@@ -85,6 +89,7 @@
     /// Takes the exports as they are now.
     fn configure(&mut self, now: Time) {
         let exports = self.exports.borrow().clone();
+        self.configured = exports.clone();
         let kept =
             exports.0.iter().zip(0..).filter_map(|(e, place)| Some((place, e.as_ref()?.sums.clone()?)));
         let kept: Vec<(VolumeId, Facts)> = kept.collect();
@@ -104,7 +109,7 @@
 
     /// Has the scrubber read what it may.
     fn scrub(&mut self, now: Time, open: &OpenByShard) {
-        let exports = self.exports.borrow().clone();
+        let exports = self.configured.clone();
         for (export, volume) in exports.0.iter().zip(0..) {
             let Some((export, (_, within))) = export.as_ref().and_then(|e| Some((e, e.scrub?))) else {
                 continue;
@@ -126,8 +131,16 @@
             };
             let (id, due) = (self.numbers.next(), now + kind.deadline);
             let (offset, length) = (range.first * BLOCK, (range.count * BLOCK) as u32);
-            let (operation, durable, describe) = (Operation::Read, false, None);
-            let request = Request { export: volume, operation, durable, offset, length, describe };
+            let request = Request {
+                place: volume,
+                export: export.clone(),
+                target: Target::Data,
+                operation: Operation::Read,
+                durable: false,
+                offset,
+                length,
+                describe: None,
+            };
             let arrival = arrival(id, export, kind.class, due);
             self.held.insert(id, Held { arrival, request, back: None, since: now, parts: Vec::new() });
             let op = Op::Scrub(range.first, range.count as u32);
@@ -137,7 +150,7 @@
 
     fn ask(&mut self, now: Time, ask: ClientRequest<Nbd>) {
         let ClientRequest { arrival, request, back, .. } = ask;
-        let (id, volume, due) = (arrival.id, request.export, arrival.due);
+        let (id, volume, due) = (arrival.id, request.place, arrival.due);
         let first = request.offset / BLOCK;
         let op = match &request.operation {
             Operation::Read if request.describe.is_some() => {
@@ -201,7 +214,7 @@
                 let _ = back.send((id, answer(held.parts)));
             }
             None => {
-                let volume = held.request.export;
+                let volume = held.request.place;
                 if let Some(at) = self.scrub.read_ended(now, volume, found) {
                     self.keeper.note_scrubbed(now, volume, at, &mut self.effects);
                 }
@@ -211,15 +224,20 @@
 
     /// Asks the planner for what a task needs.
     fn start(&mut self, task: TaskId, volume: VolumeId, what: Task, due: Time, on: &mut Vec<Input<Nbd>>) {
+        // The keeper has no tasks for an export that it does not keep.
+        let Some(export) = self.configured.get(volume).cloned() else { return };
         let id = self.numbers.next();
         let companion = |operation, durable, offset, length| Request {
-            export: volume | SUMS,
+            place: volume,
+            export: export.clone(),
+            target: Target::Sums,
             operation,
             durable,
             offset,
             length,
             describe: None,
         };
+        let mut of_client = None;
         let (purpose, request) = match what {
             Task::Data(client) => {
                 let Some(held) = self.held.get(&client) else { return };
@@ -228,6 +246,7 @@
                     // Its first block tells.
                     request.length = BLOCK as u32;
                 }
+                of_client = Some(Arrival { id, ..held.arrival.clone() });
                 (What::Data(client), request)
             }
             Task::Read(offset, length) => (What::Pages, companion(Operation::Read, false, offset, length)),
@@ -237,34 +256,12 @@
             }
             Task::Flush => (What::Rest, companion(Operation::Flush, false, 0, 0)),
         };
-        let arrival = match purpose {
-            What::Data(client) => self.held.get(&client).map(|h| Arrival { id, ..h.arrival.clone() }),
-            _ => self.arrival(id, &request, due),
-        };
+        let of_companion = || arrival(id, &export, companion_class(&export, &request.operation), due);
+        let arrival = of_client.unwrap_or_else(of_companion);
         self.asked.insert(id, (task, purpose));
         self.numbers_of.insert(task, id);
-        match arrival {
-            Some(arrival) => on.push(Input::Request(ClientRequest {
-                arrival,
-                request,
-                back: self.back.clone(),
-                of_client: false,
-            })),
-            // Its export is gone: nobody can be asked.
-            None => drop(self.back.send((id, Answer::Failed))),
-        }
-    }
-
-    /// What the scheduler is told of a request for the companion: the same shard, volume and classes.
-    fn arrival(&self, id: RequestId, request: &Request, due: Time) -> Option<Arrival> {
-        let exports = self.exports.borrow();
-        let export = exports.get(request.export & !SUMS)?;
-        let Kind { class, .. } = match request.operation {
-            Operation::Read => export.kinds[0],
-            Operation::Write(_) => export.kinds[1],
-            Operation::Flush => export.kinds[2],
-        };
-        Some(arrival(id, export, class, due))
+        let back = self.back.clone();
+        on.push(Input::Request(ClientRequest { arrival, request, back, of_client: false }));
     }
 
     /// The planner's answer to one of our requests.
@@ -292,6 +289,16 @@
     }
 }
 
+/// The class of a request for the companion of an export: the one of the client's requests of that kind.
+fn companion_class(export: &Export, operation: &Operation) -> usize {
+    let [read, write, flush] = export.kinds;
+    match operation {
+        Operation::Read => read.class,
+        Operation::Write(_) => write.class,
+        Operation::Flush => flush.class,
+    }
+}
+
 /// What the scheduler is told of a request of the broker's own: a unit for the volume of an export.
 fn arrival(id: RequestId, export: &Export, class: usize, due: Time) -> Arrival {
     Arrival {
@@ -300,7 +307,7 @@
         plan: export.plan,
         key: None,
         due,
-        volume: export.name.clone(),
+        volume: export.name.to_string(),
         units: 1.0,
         shard: Some(export.shard),
         volume_hosts: export.hosts,
@@ -337,7 +344,7 @@
 impl Interceptor<Nbd> for Guard {
     fn take(&mut self, now: Time, input: Input<Nbd>, on: &mut Vec<Input<Nbd>>) {
         match input {
-            Input::Request(ask) if self.keeper.has(ask.request.export) => self.ask(now, ask),
+            Input::Request(ask) if self.keeper.has(ask.request.place) => self.ask(now, ask),
             // Its export had sums when the client asked.
             Input::Request(ask) if ask.request.describe.is_some() => {
                 // A front that is gone needs no answer.
@@ -397,7 +404,7 @@
             tracing::info!(?counts, "scrub");
         }
         for (volume, behind) in self.scrub.behind(now) {
-            let export = self.exports.borrow().name(volume);
+            let export = self.configured.get(volume).map(|e| e.name.as_str());
             tracing::warn!(export, behind_s = behind / 1_000_000, "scrub is behind: live work comes first");
         }
     }
--- a/src/wire/nbd/server.rs
+++ b/src/wire/nbd/server.rs
@@ -35,7 +35,9 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Export {
     /// Its name.
-    pub name: String,
+    pub name: ExportName,
+    /// The name of its companion, which holds its sums if it has any.
+    pub companion: ExportName,
     /// Its size in bytes.
     pub size: u64,
     /// Whether it takes no writes.
@@ -72,17 +74,17 @@
 
 /// All exports. One that is taken out leaves its place, so that places stay the same.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Catalogue(pub Vec<Option<Export>>);
+pub struct Catalogue(pub Vec<Option<Rc<Export>>>);
 
 impl Catalogue {
     /// This catalogue with the exports of `new` in their places: a session or a link that knows a place
     /// must not come upon another export there.
     pub fn renewed(&self, new: Catalogue) -> Catalogue {
         let mut places = vec![None; self.0.len()];
-        let mut names: Vec<Option<String>> =
+        let mut names: Vec<Option<ExportName>> =
             self.0.iter().map(|e| e.as_ref().map(|e| e.name.clone())).collect();
         for export in new.0.into_iter().flatten() {
-            match names.iter().position(|n| n.as_deref() == Some(export.name.as_str())) {
+            match names.iter().position(|n| n.as_ref() == Some(&export.name)) {
                 Some(place) => places[place] = Some(export),
                 None => {
                     names.push(Some(export.name.clone()));
@@ -93,19 +95,24 @@
         Catalogue(places)
     }
 
-    /// The name that nodes know the export at a place by, or its companion.
-    pub fn name(&self, place: u32) -> Option<String> {
-        let name = self.get(place & !SUMS).map(|e| e.name.as_str())?;
-        Some(if place & SUMS != 0 { format!("{name}{SUMS_SUFFIX}") } else { name.to_string() })
+    /// Whether a request that was made under an earlier catalogue must not be sent any more: its export is gone, holds
+    /// its data elsewhere, keeps its sums otherwise, or ends before the request does.
+    pub fn revokes(&self, request: &Request) -> bool {
+        let Some(export) = self.get(request.place) else { return true };
+        if request.export.shard != export.shard || request.export.sums != export.sums {
+            return true;
+        }
+        let end = request.offset.saturating_add(u64::from(request.length));
+        request.target == Target::Data && end > export.size
     }
 
     fn find(&self, name: &[u8]) -> Option<u32> {
-        let is = |e: &Option<Export>| e.as_ref().is_some_and(|e| e.name.as_bytes() == name);
+        let is = |e: &Option<Rc<Export>>| e.as_ref().is_some_and(|e| e.name.as_str().as_bytes() == name);
         self.0.iter().position(is).map(|place| place as u32)
     }
 
     /// The export at a place.
-    pub fn get(&self, place: u32) -> Option<&Export> {
+    pub fn get(&self, place: u32) -> Option<&Rc<Export>> {
         self.0.get(place as usize)?.as_ref()
     }
 }
@@ -213,8 +220,8 @@
                 let exports = self.exports.borrow().clone();
                 for export in exports.0.iter().flatten() {
                     let mut name = BytesMut::new();
-                    name.put_u32(export.name.len() as u32);
-                    name.put_slice(export.name.as_bytes());
+                    name.put_u32(export.name.as_str().len() as u32);
+                    name.put_slice(export.name.as_str().as_bytes());
                     self.reply(option, reply::SERVER, &name);
                 }
                 self.reply(option, reply::ACK, b"");
@@ -348,7 +355,7 @@
         let Some(ask) = head(read, request_head, "bad request magic")? else { return Ok(false) };
         let exports = self.exports.borrow().clone();
         let contexts = self.contexts_of(place);
-        let wrong = check(exports.get(place), &ask, contexts != 0);
+        let wrong = check(exports.get(place).map(Rc::as_ref), &ask, contexts != 0);
         let mut data = Bytes::new();
         if ask.command == command::WRITE && ask.length <= MOST_LENGTH {
             // An error does not spare the client its data: the next request stands behind it.
@@ -398,17 +405,24 @@
             plan: export.plan,
             key: Some(format!("{}:{}", export.name, ask.offset / u64::from(MOST_LENGTH))),
             due: now + kind.deadline,
-            volume: export.name.clone(),
+            volume: export.name.to_string(),
             units: f64::from(units),
             shard: Some(export.shard),
             volume_hosts: export.hosts,
             repeat: false,
         };
         let durable = ask.flags & FUA != 0;
-        asks.push((
-            arrival,
-            Request { export: place, operation, durable, offset: ask.offset, length, describe },
-        ));
+        let request = Request {
+            place,
+            export: export.clone(),
+            target: Target::Data,
+            operation,
+            durable,
+            offset: ask.offset,
+            length,
+            describe,
+        };
+        asks.push((arrival, request));
         Ok(true)
     }
 
--- a/src/wire/resp.rs
+++ b/src/wire/resp.rs
@@ -290,9 +290,12 @@
 impl Wire for Resp {
     type Request = Command;
     type Reply = Reply;
+    type Channel = ();
 
     const SHARING: Sharing = Sharing::Exclusive;
 
+    fn channel(_: &Command) {}
+
     fn streams_body(request: &Command) -> bool {
         matches!(request.body, Some(Body::Streamed(..)))
     }
--- a/tests/allocations.rs
+++ b/tests/allocations.rs
@@ -13,7 +13,7 @@
 use claywinch::state::pool::{LinkSettings, PoolLimits};
 use claywinch::wire::nbd::guard::Guard;
 use claywinch::wire::nbd::server::{Catalogue, Export, Exports, Kind};
-use claywinch::wire::nbd::{Nbd, Operation, Part, Request, SUMS};
+use claywinch::wire::nbd::{ExportName, Nbd, Operation, Part, Request, Target};
 use claywinch::wire::session::RequestIds;
 use std::rc::Rc;
 use tokio::sync::mpsc::unbounded_channel;
@@ -62,9 +62,10 @@
 fn exports(summed: bool) -> Exports {
     let kind = |class| Kind { class, deadline: 1_000_000 };
     let shape = Geometry { blocks: SIZE / 4096, brokers: 1 };
-    let facts = Facts { name: "disk".to_string(), shape, broker: 0, late: 1 };
+    let facts = Facts { name: "disk".to_string(), shard: 0, shape, broker: 0, late: 1 };
     let export = Export {
-        name: "disk".into(),
+        name: ExportName::new("disk"),
+        companion: ExportName::new("disk").companion(),
         size: SIZE,
         read_only: false,
         shard: 0,
@@ -76,7 +77,7 @@
         sums: summed.then_some(facts),
         scrub: None,
     };
-    Rc::new(std::cell::RefCell::new(Rc::new(Catalogue(vec![Some(export)]))))
+    Rc::new(std::cell::RefCell::new(Rc::new(Catalogue(vec![Some(Rc::new(export))]))))
 }
 
 /// A planner with its interceptor, and a stand-in node that answers at once.
@@ -88,6 +89,7 @@
     sums: Vec<u8>,
     sent: u64,
     next: RequestId,
+    export: Rc<Export>,
 }
 
 impl<G: Interceptor<Nbd>> Broker<G> {
@@ -99,7 +101,9 @@
         };
         let planner = Planner::new(settings(), 7, 0, limits).expect("good settings");
         let (data, sums) = (vec![7; SIZE as usize], vec![0; SIZE as usize / 32]);
-        let mut broker = Broker { planner, interceptor, now: 1_000_000, data, sums, sent: 0, next: 1 << 32 };
+        let export = exports(false).borrow().get(0).cloned().expect("the export");
+        let mut broker =
+            Broker { planner, interceptor, now: 1_000_000, data, sums, sent: 0, next: 1 << 32, export };
         let entry = NodeEntry { node: 1, zone: 0, shard: 0, state: NodeState::Up, started: None, size: 0 };
         broker.turn(Input::Nodes(ListKind::Full, vec![ListedNode { entry, address: String::new() }]));
         for _ in 0..2_000 {
@@ -140,7 +144,7 @@
     }
 
     fn node_reply(&mut self, request: Request) -> AttemptEnd<Vec<Part>> {
-        let bytes = if request.export & SUMS != 0 { &mut self.sums } else { &mut self.data };
+        let bytes = if request.target == Target::Sums { &mut self.sums } else { &mut self.data };
         let range = request.offset as usize..request.offset as usize + request.length as usize;
         let parts = match &request.operation {
             Operation::Read => vec![Part::Data(request.offset, Bytes::copy_from_slice(&bytes[range]))],
@@ -171,7 +175,16 @@
             volume_hosts: 1,
             repeat: false,
         };
-        let request = Request { export: 0, operation, durable: false, offset, length, describe: None };
+        let request = Request {
+            place: 0,
+            export: self.export.clone(),
+            target: Target::Data,
+            operation,
+            durable: false,
+            offset,
+            length,
+            describe: None,
+        };
         self.turn(Input::Request(ClientRequest { arrival, request, back, of_client: false }));
         match answers.try_recv() {
             Ok((_, Answer::Served(parts))) => parts,
--- a/tests/integrity.rs
+++ b/tests/integrity.rs
@@ -174,7 +174,7 @@
         let mut keeper = Keeper::new(1);
         let mut effects = Vec::new();
         let shape = Geometry { blocks: BLOCKS, brokers: self.world.brokers };
-        let facts = Facts { name: "tallies".to_string(), shape, broker, late: LATE };
+        let facts = Facts { name: "tallies".to_string(), shard: 0, shape, broker, late: LATE };
         keeper.configure(self.now, &[(0, facts)], &mut effects);
         Broker { keeper, effects, asks: BTreeMap::new(), out: Vec::new(), read: BTreeMap::new() }
     }
@@ -566,3 +566,28 @@
         }
     }
 }
+
+/// Guards against pages of sums that were read or written for an export as it was, and are taken for those of the export as
+/// it is: it has moved to another shard, where other pages stand.
+#[test]
+fn what_is_out_for_an_export_that_changes_is_dropped() {
+    let (mut keeper, mut effects) = (Keeper::new(1), Vec::new());
+    let shape = Geometry { blocks: BLOCKS, brokers: 1 };
+    let facts = |shard| Facts { name: "tallies".to_string(), shard, shape, broker: 0, late: LATE };
+    let tasks = |effects: &mut Vec<Effect>| {
+        let started = |effect: &Effect| if let Effect::Start(task, ..) = effect { Some(*task) } else { None };
+        let tasks: Vec<TaskId> = effects.iter().filter_map(started).collect();
+        effects.clear();
+        tasks
+    };
+    keeper.configure(SECOND, &[(0, facts(0))], &mut effects);
+    let before = tasks(&mut effects);
+    keeper.configure(2 * SECOND, &[(0, facts(1))], &mut effects);
+    let dropped = |task: &TaskId| effects.contains(&Effect::Drop(*task));
+    assert!(!before.is_empty() && before.iter().all(dropped), "{effects:?}");
+    let after = tasks(&mut effects);
+    assert!(!after.is_empty() && !after.iter().any(|task| before.contains(task)), "it is opened anew");
+    let damaged = Outcome::Pages(Bytes::from(vec![1; PAGE as usize]));
+    keeper.handle(2 * SECOND, Event::Done(before[0], damaged), &mut effects);
+    assert_eq!(effects, [], "an answer that comes yet is no answer for it");
+}
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -13,7 +13,7 @@
 use claywinch::wire::link::{Exchange, ProtocolError, ReplyProgress};
 use claywinch::wire::nbd::server::{Catalogue, Client as NbdClient, Export, Exports, Kind};
 use claywinch::wire::nbd::teller::{Teller, TellerError};
-use claywinch::wire::nbd::{client::Node as NbdNode, Operation, Part, Request};
+use claywinch::wire::nbd::{client::Node as NbdNode, ExportName, Operation, Part, Request, Target};
 use claywinch::wire::resp::client::Node;
 use claywinch::wire::resp::server::{ClassSchema, Client, RequestSchema, SharedState};
 use claywinch::wire::resp::Reply;
@@ -293,7 +293,8 @@
 fn exports() -> Exports {
     let kind = Kind { class: 0, deadline: 1_000_000 };
     let export = Export {
-        name: "disk".into(),
+        name: ExportName::new("disk"),
+        companion: ExportName::new("disk").companion(),
         size: 1 << 20,
         read_only: false,
         shard: 0,
@@ -305,7 +306,7 @@
         sums: None,
         scrub: None,
     };
-    Rc::new(std::cell::RefCell::new(Rc::new(Catalogue(vec![Some(export)]))))
+    Rc::new(std::cell::RefCell::new(Rc::new(Catalogue(vec![Some(Rc::new(export))]))))
 }
 
 fn option(number: u32, data: &[u8]) -> Vec<u8> {
@@ -376,8 +377,8 @@
     let exports = exports();
     let mut catalogue = (**exports.borrow()).clone();
     let shape = Geometry { blocks: 256, brokers: 1 };
-    let facts = Facts { name: "disk".to_string(), shape, broker: 0, late: 1 };
-    catalogue.0[0].as_mut().expect("an export").sums = Some(facts);
+    let facts = Facts { name: "disk".to_string(), shard: 0, shape, broker: 0, late: 1 };
+    Rc::make_mut(catalogue.0[0].as_mut().expect("an export")).sums = Some(facts);
     *exports.borrow_mut() = Rc::new(catalogue);
     exports
 }
@@ -583,9 +584,11 @@
 }
 
 fn nbd_node() -> NbdNode {
-    let mut node = NbdNode::new("disk".into());
+    let mut node = NbdNode::new(ExportName::new("disk"));
     let read = Request {
-        export: 0,
+        place: 0,
+        export: exports().borrow().get(0).cloned().expect("the export"),
+        target: Target::Data,
         operation: Operation::Read,
         durable: false,
         offset: 0,
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -15,6 +15,9 @@
 impl Wire for Text {
     type Request = &'static str;
     type Reply = &'static str;
+    type Channel = ();
+
+    fn channel(_: &&'static str) {}
 }
 
 struct Bench {
@@ -243,3 +246,65 @@
         assert_eq!(bench.answered().len(), usize::from(ending == Ending::Served));
     }
 }
+
+fn withdrawn(effects: &[Effect<Text>]) -> Vec<AttemptId> {
+    let tag = |effect: &Effect<Text>| if let Effect::Withdraw(_, tag) = effect { Some(*tag) } else { None };
+    effects.iter().filter_map(tag).collect()
+}
+
+fn revoke_all() -> Vec<Input<Text>> {
+    vec![Input::Revoke(Box::new(|request| *request == "what"))]
+}
+
+/// Guards against requests that are sent under a configuration which does not hold any more.
+#[test]
+fn a_revoked_request_that_waits_is_refused_at_once() {
+    let mut b = Bench::new(0);
+    let input = b.request(Ask { class: 2, ..ask(1) });
+    assert!(sent(&b.turn(0, vec![input])).is_empty(), "there is no link");
+    b.turn(0, revoke_all());
+    assert_eq!(b.answered(), [(1, Answer::Refused(0))]);
+    let later = b.turn(10_000, vec![Input::LinkLimit(Some(1))]);
+    assert_eq!((sent(&later), b.planner.load()), (vec![], (0, 0, 0)));
+}
+
+/// Guards against an answer that is not true of a write: refused only if its node has received nothing of it.
+#[test]
+fn a_revoked_request_on_a_link_ends_as_its_attempt_does_and_is_not_sent_again() {
+    for (end, answer) in [
+        (AttemptEnd::without_reply(Ending::NotSent), Answer::Refused(0)),
+        (served(), Answer::Served("reply")),
+        (AttemptEnd::without_reply(Ending::Reset), Answer::Failed),
+    ] {
+        let mut b = Bench::new(4);
+        let input = b.request(Ask { class: 2, ..ask(1) });
+        assert_eq!(sent(&b.turn(0, vec![input])), [(0, (1, 0))]);
+        assert_eq!(withdrawn(&b.turn(1_000, revoke_all())), [(1, 0)], "its link gives it back if it can");
+        assert!(b.answered().is_empty());
+        let effects = b.turn(1_000, vec![Input::AttemptEnded(0, (1, 0), end)]);
+        assert_eq!((sent(&effects), b.answered()), (vec![], vec![(1, answer)]));
+    }
+    // A read may run again, and would have; its node had no room for it.
+    let mut b = Bench::new(4);
+    let input = b.request(ask(1));
+    b.turn(0, vec![input]);
+    b.turn(1_000, revoke_all());
+    let full = AttemptEnd::without_reply(Ending::Full);
+    assert!(sent(&b.turn(1_000, vec![Input::AttemptEnded(0, (1, 0), full)])).is_empty());
+    for _ in 0..200 {
+        assert!(sent(&b.turn(10_000, vec![])).is_empty());
+    }
+    assert!(matches!(b.answered()[..], [(1, Answer::Refused(_))]));
+}
+
+/// Guards against revoking more than what the configuration changed.
+#[test]
+fn a_request_that_does_not_match_goes_on() {
+    let mut b = Bench::new(4);
+    let input = b.request(ask(1));
+    b.turn(0, vec![input]);
+    let effects = b.turn(1_000, vec![Input::Revoke(Box::new(|request| *request == "something else"))]);
+    assert_eq!(withdrawn(&effects), []);
+    b.turn(1_000, vec![Input::AttemptEnded(0, (1, 0), served())]);
+    assert_eq!(b.answered(), [(1, Answer::Served("reply"))]);
+}
