End a node that a full list leaves out as one that is listed as gone

What callers saw: a node was replaced in the NBD file.

Cause: links were closed, and had to give back what had not begun, only for entries that say Draining or Gone. A node that a full list leaves out has no entry; its address was forgotten and its links went on.

Change: the planner ends such a node by the code for Gone, for both fronts.

--- a/src/state/planner.rs
+++ b/src/state/planner.rs
@@ -389,10 +389,7 @@
                 }
                 Deadline::Idle(link) => match self.pool.idle_expires_at(link) {
                     Some(at) if at > now => self.deadlines.insert(at, Deadline::Idle(link)),
-                    Some(_) => {
-                        self.pool.remove(now, link, false);
-                        effects.push(Effect::Close(link));
-                    }
+                    Some(_) => self.close_link(now, link, effects),
                     None => {}
                 },
                 Deadline::PartialReply(link) => {
@@ -501,31 +498,7 @@
             }
             Input::AnswerAllBy(at) => self.answer_all_by(at),
             Input::HostLateness(late) => self.events.push(Event::HostLateness(late)),
-            Input::Nodes(kind, members) => {
-                let mut entries = Vec::with_capacity(members.len());
-                if matches!(kind, ListKind::Full | ListKind::Saved) {
-                    self.addresses.clear();
-                }
-                for member in members {
-                    if member.entry.state != NodeState::Up {
-                        for link in self.pool.idle_of(member.entry.node) {
-                            self.pool.remove(now, link, false);
-                            effects.push(Effect::Close(link));
-                        }
-                        // Attempts that wait on such a link, for its connection or behind another attempt, would reach
-                        // the node after it stopped accepting work. Only the link knows which attempts it has already
-                        // begun to write, so it gives back the others.
-                        let busy = self.pool.busy_of(member.entry.node).into_iter();
-                        effects.extend(busy.map(Effect::Bar));
-                    }
-                    match member.entry.state {
-                        NodeState::Gone => drop(self.addresses.remove(&member.entry.node)),
-                        _ => drop(self.addresses.insert(member.entry.node, member.address)),
-                    }
-                    entries.push(member.entry);
-                }
-                self.events.push(Event::Nodes(kind, entries));
-            }
+            Input::Nodes(kind, members) => self.update_nodes(now, kind, members, effects),
             Input::Probed(node, ending, util) => self.events.push(Event::Probed(node, ending, util)),
             Input::Settings(settings, terms) => {
                 self.pool.set_link_settings(terms);
@@ -533,8 +506,7 @@
             }
             Input::LinkLimit(most) => {
                 for link in self.pool.set_link_limit(most.unwrap_or(self.pool.len() + SUPERSEDED_LINKS)) {
-                    self.pool.remove(now, link, false);
-                    effects.push(Effect::Close(link));
+                    self.close_link(now, link, effects);
                 }
             }
             Input::LimitShare(part) => self.events.push(Event::LimitShare(part)),
@@ -542,6 +514,53 @@
         }
     }
 
+    /// Takes an update of the node list. A node that a full list leaves out ends as one that is listed as gone.
+    fn update_nodes(
+        &mut self,
+        now: Time,
+        kind: ListKind,
+        members: Vec<ListedNode>,
+        effects: &mut Vec<Effect<W>>,
+    ) {
+        if matches!(kind, ListKind::Full | ListKind::Saved) {
+            let listed: BTreeSet<NodeId> = members.iter().map(|member| member.entry.node).collect();
+            let left_out = self.addresses.keys().filter(|node| !listed.contains(node)).copied();
+            for node in left_out.collect::<Vec<NodeId>>() {
+                self.stop_sending(now, node, effects);
+                self.addresses.remove(&node);
+            }
+        }
+        let mut entries = Vec::with_capacity(members.len());
+        for ListedNode { entry, address } in members {
+            if entry.state != NodeState::Up {
+                self.stop_sending(now, entry.node, effects);
+            }
+            match entry.state {
+                NodeState::Gone => drop(self.addresses.remove(&entry.node)),
+                NodeState::Up | NodeState::Draining => drop(self.addresses.insert(entry.node, address)),
+            }
+            entries.push(entry);
+        }
+        self.events.push(Event::Nodes(kind, entries));
+    }
+
+    /// Closes the idle links of a node that accepts no work any more, and has the others give back what waits on them.
+    fn stop_sending(&mut self, now: Time, node: NodeId, effects: &mut Vec<Effect<W>>) {
+        for link in self.pool.idle_of(node) {
+            self.close_link(now, link, effects);
+        }
+        // Attempts that wait on such a link, for its connection or behind another attempt, would reach the node after it
+        // stopped accepting work. Only the link knows which attempts it has already begun to write, so it gives back the
+        // others.
+        effects.extend(self.pool.busy_of(node).into_iter().map(Effect::Bar));
+    }
+
+    /// Closes a link that carries no attempt.
+    fn close_link(&mut self, now: Time, link: LinkId, effects: &mut Vec<Effect<W>>) {
+        self.pool.remove(now, link, false);
+        effects.push(Effect::Close(link));
+    }
+
     /// Has the links give back all attempts of a request that have not begun. Returns whether there are attempts.
     fn withdraw_attempts(&self, id: RequestId, effects: &mut Vec<Effect<W>>) -> bool {
         let mut attempts = self.attempts.range((id, 0)..=(id, u32::MAX)).peekable();
--- a/tests/exports.rs
+++ b/tests/exports.rs
@@ -1,5 +1,5 @@
-//! Exports that a new configuration takes out or changes while requests for them are open: a broker process before nodes
-//! that are slow enough for requests to wait.
+//! Exports and nodes that a new configuration takes out or changes while requests for them are open: a broker process before
+//! nodes that are slow enough for requests to wait.
 
 mod common;
 
@@ -9,6 +9,10 @@
 use claywinch_lab::nbd::{Reply, ENOMEM, READ, WRITE};
 use common::net::*;
 use std::collections::BTreeMap;
+use std::net::{TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Sender};
+use std::thread;
+use std::time::Duration;
 
 const SIZE: u64 = 1 << 20;
 /// Requests of each kind that are open when the configuration changes.
@@ -34,13 +38,17 @@
 
 /// An NBD file with these exports, and a node for each shard.
 fn file(exports: &str, nodes: &[&Disk]) -> String {
-    let class = |name: &str, repeat: &str| {
-        format!("[[class]]\nname='{name}'\nwanted_ms=500\ndeadline_ms=4000\nworth=2.0\nrepeat='{repeat}'\n")
-    };
     let node = |(shard, node): (usize, &&Disk)| {
         format!("[[node]]\nid='d-{shard}'\naddress='{}'\nshard={shard}\n", node.address())
     };
     let nodes: String = nodes.iter().enumerate().map(node).collect();
+    with_nodes(exports, &nodes)
+}
+
+fn with_nodes(exports: &str, nodes: &str) -> String {
+    let class = |name: &str, repeat: &str| {
+        format!("[[class]]\nname='{name}'\nwanted_ms=500\ndeadline_ms=4000\nworth=2.0\nrepeat='{repeat}'\n")
+    };
     let (read, write) = (class("read", "safe"), class("write", "never"));
     format!("{read}{write}[[plan]]\nname='standard'\nrate=5000.0\nreserve=4000.0\n{exports}{nodes}")
 }
@@ -187,3 +195,51 @@
     assert!(within.clone().all(|(_, reply)| matches!(reply, Reply::Done(_))), "those within it go on");
     assert!(answers.range(end..).any(|(_, reply)| is_refused(reply)), "what had not begun is refused");
 }
+
+/// Takes connections in the place of a node, which come up only when the test lets them. Returns its address, and where to say
+/// so.
+fn late_address(node: &str) -> (String, Sender<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let (let_up, may_come_up) = channel();
+    let node = node.to_string();
+    thread::spawn(move || {
+        let first = listener.accept().expect("a connection").0;
+        let _ = may_come_up.recv();
+        let others = std::iter::from_fn(|| listener.accept().ok()).map(|(stream, _)| stream);
+        for near in std::iter::once(first).chain(others) {
+            let far = TcpStream::connect(&node).expect("the node");
+            let halves = [(near.try_clone(), far.try_clone()), (Ok(far), Ok(near))];
+            for (from, to) in halves {
+                let (mut from, mut to) = (from.expect("a handle"), to.expect("a handle"));
+                thread::spawn(move || std::io::copy(&mut from, &mut to));
+            }
+        }
+    });
+    (address, let_up)
+}
+
+/// Guards against a node that gets what waited for its connection after a list without it has come: such a write is
+/// acknowledged, and nobody reads it.
+#[test]
+fn a_node_that_is_left_out_gets_nothing_that_waited_for_its_connection() {
+    let (removed, next) = (slow_node(&[("tallies", SIZE)]), slow_node(&[("tallies", SIZE)]));
+    let (_discovery, address) = Discovery::start("");
+    let (late, let_up) = late_address(removed.address());
+    let with_node = |id: &str, address: &str| {
+        let node = format!("[[node]]\nid='{id}'\naddress='{address}'\nshard=0\n");
+        with_nodes(&export("tallies", 0, SIZE, ""), &node)
+    };
+    let broker = Broker::start("nodes-left-out", SETTINGS, &address, Some(&with_node("d-1", &late)));
+    let mut writer = Open::connect(&broker, "tallies");
+    writer.ask(WRITE);
+    // Time for the first requests to be handed to their links.
+    thread::sleep(Duration::from_millis(100));
+    broker.reload(&with_node("d-2", next.address()));
+    in_force(&broker, 2);
+    let _ = let_up.send(());
+    let answers = writer.answers();
+    assert!(answers.values().all(|reply| matches!(reply, Reply::Done(_))), "{answers:?}");
+    assert_eq!(removed.counts().0, 0, "requests at the removed node");
+    assert_eq!(next.bytes("tallies", 0, BLOCK * OPEN as usize), vec![WRITTEN; BLOCK * OPEN as usize]);
+}
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -308,3 +308,32 @@
     b.turn(1_000, vec![Input::AttemptEnded(0, (1, 0), served())]);
     assert_eq!(b.answered(), [(1, Answer::Served("reply"))]);
 }
+
+/// Guards against a full list that ends a node otherwise than one that says that it is gone: what waits for a connection
+/// would be sent to it.
+#[test]
+fn a_node_that_a_full_list_leaves_out_ends_as_one_that_is_gone() {
+    let listed = |node, state| ListedNode { entry: entry(node, 0, state, None), address: "a node".into() };
+    let without = [
+        (ListKind::Changes, vec![listed(1, NodeState::Gone), listed(2, NodeState::Up)]),
+        (ListKind::Full, vec![listed(2, NodeState::Up)]),
+        (ListKind::Saved, vec![listed(2, NodeState::Up)]),
+    ];
+    let ends = without.map(|(kind, members)| {
+        let mut b = Bench::new(4);
+        let inputs = vec![b.request(ask(1)), b.request(ask(2))];
+        assert_eq!(sent(&b.turn(0, inputs)), [(0, (1, 0)), (1, (2, 0))]);
+        b.turn(50_000, vec![Input::LinkUp(0), Input::AttemptEnded(0, (1, 0), served())]);
+        let effects = b.turn(1_000, vec![Input::Nodes(kind, members)]);
+        let given_back = Input::AttemptEnded(1, (2, 0), AttemptEnd::without_reply(Ending::NotSent));
+        let after = b.turn(1_000, vec![given_back]);
+        let barred = |e: &Effect<Text>| if let Effect::Bar(link) = e { Some(*link) } else { None };
+        let barred: Vec<LinkId> = effects.iter().filter_map(barred).collect();
+        let opened = |e: &Effect<Text>| if let Effect::Open(_, node, ..) = e { Some(*node) } else { None };
+        let opened: Vec<NodeId> = after.iter().filter_map(opened).collect();
+        (closed(&effects), barred, opened, b.planner.known().0)
+    });
+    for end in ends {
+        assert_eq!(end, (vec![0], vec![1], vec![2], 1));
+    }
+}
