Answer requests over NBD before the kill may come, as those over RESP2

Cause: deadlines were bounded by the phase in the RESP2 parser only. Requests that the keeper of sums holds back were not brought forward by SIGTERM at all, and a shorter grace by SIGHUP was told to the RESP2 planner alone.

Change: the driver that all sessions share bounds deadlines; each front tells its planner by when everything must be answered, whenever the phase changes that; the keeper takes it as well.

--- a/src/run/front.rs
+++ b/src/run/front.rs
@@ -6,7 +6,7 @@
 use crate::state::accept_queue::AcceptQueue;
 use crate::state::client_slots::ClientSlots;
 use crate::state::phase::Phase;
-use crate::state::planner::Wire;
+use crate::state::planner::{Input, Wire};
 use crate::wire::clock::Clock;
 use crate::wire::session::{serve, Admission, NewConnection, Session, SessionContext};
 use crate::wire::socket::{try_accept, unread, Unread};
@@ -16,6 +16,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::watch;
 
 /// Connections accepted without yielding to the runtime when the listener is about to close.
 const ACCEPT_BATCH: usize = 128;
@@ -67,9 +69,26 @@
     }
 }
 
+/// Tells the planner by when it must have answered everything that was accepted under longer deadlines, whenever the phase
+/// sets another time for that.
+async fn bound_answers<W: Wire>(mut phase: watch::Receiver<Phase>, planner: UnboundedSender<Input<W>>) {
+    let mut bound = None;
+    loop {
+        let last_answer = phase.borrow_and_update().last_answer_at();
+        if let Some(at) = last_answer.filter(|_| last_answer != bound) {
+            bound = last_answer;
+            let _ = planner.send(Input::AnswerAllBy(at));
+        }
+        if phase.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 impl<W: Wire> Front<W> {
     /// Accepts connections as long as the broker's phase allows it.
     pub async fn accept<S: Session<W>>(self, session: impl Fn() -> S) {
+        tokio::task::spawn_local(bound_answers(self.context.phase.clone(), self.context.planner.clone()));
         let shared = self.shared;
         let accepts = move |phase: &Phase| {
             if shared {
--- a/src/run/reload.rs
+++ b/src/run/reload.rs
@@ -105,9 +105,6 @@
         self.lists.set(lists);
         self.deadlines.set(deadlines);
         let _ = change_phase(&self.phase, Transition::Grace(grace(deadlines)), self.clock.now());
-        if let Some(by) = self.phase.borrow().last_answer_at() {
-            let _ = self.planner.send(Input::AnswerAllBy(by));
-        }
         self.text = new.text;
         self.send_settings(bounds.links());
         let classes = self.class_count();
--- a/src/run/start.rs
+++ b/src/run/start.rs
@@ -306,7 +306,6 @@
     tracing::info!(name = config.name, listen = config.listen, inherited, beside, ?limits, "serving");
 
     let shutdown = Shutdown {
-        planner: own,
         guard,
         phase,
         loop_clock,
--- a/src/run/stop.rs
+++ b/src/run/stop.rs
@@ -6,15 +6,12 @@
 use crate::state::client_slots::ClientSlots;
 use crate::state::guard::Guard;
 use crate::state::phase::{grace, last_read, Phase, Transition};
-use crate::state::planner::Input;
 use crate::wire::admin::handler::change_phase;
 use crate::wire::clock::LoopClock;
-use crate::wire::resp::Resp;
 use std::cell::Cell;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
@@ -32,8 +29,6 @@
 
 /// The parts of the broker that take part in the shutdown.
 pub struct Shutdown {
-    /// The planner.
-    pub planner: UnboundedSender<Input<Resp>>,
     /// Counts violations of the request rules, for the last log line.
     pub guard: Guard,
     /// The broker's phase.
@@ -127,13 +122,6 @@
             }
         }
         self.step(Transition::Stop(self.grace()), signalled_at);
-        // Requests that were accepted under a longer deadline are answered by then, too.
-        if let Some(by) = self.phase.borrow().last_answer_at() {
-            let _ = self.planner.send(Input::AnswerAllBy(by));
-            if let Some(nbd) = &self.nbd {
-                let _ = nbd.planner.send(Input::AnswerAllBy(by));
-            }
-        }
     }
 }
 
--- a/src/state/integrity/keeper/mod.rs
+++ b/src/state/integrity/keeper/mod.rs
@@ -467,6 +467,16 @@
         }
     }
 
+    /// Has all requests answered by `at`, whatever their own deadlines are.
+    pub fn answer_all_by(&mut self, at: Time) {
+        for (id, ask) in self.asks.iter_mut().filter(|(_, ask)| ask.due > at) {
+            self.deadlines.remove(ask.due - BEFORE_DUE, Wake::Ask(*id));
+            self.deadlines.remove(ask.due + AFTER_DUE, Wake::Ask(*id));
+            self.deadlines.insert(at - BEFORE_DUE, Wake::Ask(*id));
+            ask.due = at;
+        }
+    }
+
     /// Takes what has happened.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Effect>) {
         match event {
--- a/src/wire/nbd/guard.rs
+++ b/src/wire/nbd/guard.rs
@@ -353,6 +353,10 @@
             Input::ClientGone(id) if self.held.contains_key(&id) => {
                 self.keeper.handle(now, Event::Gone(id), &mut self.effects);
             }
+            Input::AnswerAllBy(at) => {
+                self.keeper.answer_all_by(at);
+                on.push(input);
+            }
             Input::Nodes(_, ref members) => {
                 self.nodes(members);
                 on.push(input);
--- a/src/wire/resp/server.rs
+++ b/src/wire/resp/server.rs
@@ -319,13 +319,7 @@
             class: class.index,
             plan: plan.1,
             key: None,
-            due: self
-                .shared
-                .phase
-                .borrow()
-                .answer_deadline(now)
-                .unwrap_or(Time::MAX)
-                .min(now + wait - TRANSIT_MARGIN),
+            due: now + wait - TRANSIT_MARGIN,
             volume: String::from_utf8_lossy(volume).into_owned(),
             units: f64::from(units),
             shard,
@@ -392,8 +386,7 @@
         }
         if let Some((writer, (id, wait))) = upload.writer.zip(upload.request) {
             writer.finish();
-            let last = self.shared.phase.borrow().answer_deadline(now).unwrap_or(Time::MAX);
-            self.complete_uploads.push_back((id, last.min(now + wait)));
+            self.complete_uploads.push_back((id, now + wait));
         }
         true
     }
--- a/src/wire/session.rs
+++ b/src/wire/session.rs
@@ -156,6 +156,7 @@
     NewConnection { slot, arrived, admission }: NewConnection,
 ) {
     let SessionContext { planner, guard, loop_clock, mut phase } = context;
+    let phase_of_requests = phase.clone();
     let (back, mut answers) = unbounded_channel();
     let mut read = BytesMut::new();
     let mut activity = Activity::new(loop_clock.now());
@@ -170,6 +171,7 @@
         guard,
         back,
         loop_clock,
+        phase: phase_of_requests,
         admission,
         waiting_since: Cell::new(waiting_since),
         last_seen_open,
@@ -400,6 +402,7 @@
     guard: Guard,
     back: AnswerSender<W::Reply>,
     loop_clock: LoopClock,
+    phase: watch::Receiver<Phase>,
     admission: Admission,
     /// Since when the data that is parsed next may have waited, in the socket or in the read-ahead buffer. `None` if it has
     /// just arrived.
@@ -500,7 +503,7 @@
             *read = BytesMut::new();
         }
         for (mut arrival, request) in requests {
-            arrival.due = self.admission.due(arrival.due, self.loop_clock.now());
+            arrival.due = self.due(arrival.due, arrived);
             // The deadline of a request whose body is still arriving is not known yet.
             let due = if W::streams_body(&request) { Time::MAX } else { arrival.due };
             self.guard.take(arrival.id, due);
@@ -508,11 +511,18 @@
             let _ = self.planner.send(Input::Request(ask));
         }
         while let Some((id, due)) = session.take_complete_upload() {
-            let due = self.admission.due(due, self.loop_clock.now());
+            let due = self.due(due, arrived);
             self.guard.retime(id, due);
             let _ = self.planner.send(Input::BodyComplete(id, due));
         }
     }
+
+    /// Returns the deadline of a request that arrived at `arrived` and whose client waits until `due`: a broker that stops
+    /// gives its last answers earlier.
+    fn due(&self, due: Time, arrived: Time) -> Time {
+        let last = self.phase.borrow().answer_deadline(arrived).unwrap_or(Time::MAX);
+        self.admission.due(due.min(last), self.loop_clock.now())
+    }
 }
 
 /// Closes a connection so that what was written arrives. Nothing is read any more: a request that crosses the end is not
--- a/tests/ending.rs
+++ b/tests/ending.rs
@@ -2,6 +2,9 @@
 
 mod common;
 
+use claywinch_lab::client;
+use claywinch_lab::disk::{Disk, BLOCK};
+use claywinch_lab::nbd::{Reply, READ, WRITE};
 use common::net::*;
 use std::io::{Read, Write};
 use std::net::TcpStream;
@@ -144,3 +147,51 @@
     assert!(told.elapsed() < Duration::from_millis(500) + AFTER_DEADLINE, "{:?}", told.elapsed());
     std::fs::remove_dir_all(&folder).expect("it goes");
 }
+
+const NBD_SIZE: u64 = 1 << 20;
+
+/// An NBD file whose requests may wait far longer than the settings let a broker live on.
+fn nbd_file(node: &str, integrity: &str) -> String {
+    let class = |name: &str, repeat: &str| {
+        format!("[[class]]\nname='{name}'\nwanted_ms=500\ndeadline_ms=10000\nworth=2.0\nrepeat='{repeat}'\n")
+    };
+    let (read, write) = (class("read", "safe"), class("write", "never"));
+    format!(
+        "{read}{write}[[plan]]\nname='standard'\nrate=5000.0\nreserve=4000.0\n\
+         [[export]]\nname='tallies'\nsize={NBD_SIZE}\nshard=0\nplan='standard'\n\
+         read='read'\nwrite='write'\nflush='write'\n{integrity}\n\
+         [integrity]\nlate_ms=0\nscrub_days=0.0\n\
+         [[node]]\nid='d-1'\naddress='{node}'\nshard=0\n"
+    )
+}
+
+/// Guards against requests over NBD without a final answer when the broker is killed: those that are taken after SIGTERM, those
+/// that wait behind a write to the same block of an export with sums, and those that SIGHUP brings forward.
+#[test]
+fn requests_over_nbd_are_answered_before_the_kill() {
+    for (integrity, first, later) in [("", READ, READ), ("integrity='crc32c'", WRITE, WRITE)] {
+        let exports = [("tallies", NBD_SIZE), ("tallies.sums", NBD_SIZE)];
+        let node = Disk::start(None, &exports, Default::default()).expect("a node");
+        let (_discovery, at) = Discovery::start("");
+        let name = format!("nbd-end-{}", integrity.len());
+        let broker = Broker::start(&name, &settings(3.0), &at, Some(&nbd_file(node.address(), integrity)));
+        until("the export's sums are open", || integrity.is_empty() || broker.log().contains("sums sealed"));
+        let (_, mut asker, mut listener) =
+            client::connect(&broker.nbd, "tallies", true).expect("the front listens");
+        asker.send(WRITE, 0, 0, BLOCK as u32, vec![1; BLOCK]).expect("asks");
+        assert_eq!(listener.reply().expect("an answer").1, Reply::Done(Vec::new()));
+        node.hold("tallies", first);
+        let data = |command| if command == WRITE { vec![2; BLOCK] } else { Vec::new() };
+        asker.send(first, 0, 0, BLOCK as u32, data(first)).expect("asks");
+        until("it is out", || node.held() == 1);
+        let told = Instant::now();
+        broker.signal("-TERM");
+        std::thread::sleep(Duration::from_millis(300));
+        asker.send(later, 0, 0, BLOCK as u32, data(later)).expect("asks");
+        broker.reconfigure(&configuration(&settings(0.8), &at));
+        let replies = [listener.reply().expect("an answer").1, listener.reply().expect("another").1];
+        let took = told.elapsed();
+        assert!(replies.iter().all(|reply| matches!(reply, Reply::Error(..))), "{replies:?}");
+        assert!(took < Duration::from_millis(800) + AFTER_DEADLINE, "{took:?}");
+    }
+}
