Start the NBD front of a new version when the old process has ended

Cause: only the RESP2 listener is handed over; the NBD address was bound once, at the start, while the old process holds it.

Change: a process beside another one of its broker starts its NBD front when those before it have ended, by their locks; it binds the address as soon as it is free, so that clients wait, and reads the NBD file anew. Two fronts at once would keep the sums of one export, and answer the same peers, under one name.

The cluster's address is still open.

--- a/src/run/folder.rs
+++ b/src/run/folder.rs
@@ -3,6 +3,7 @@
 //!
 //! The hand-over file is written under a temporary name and renamed into place, so a reader finds a complete file or none.
 
+use crate::interface::Time;
 use crate::state::handover::{Handover, Process, MAX_BYTES};
 use std::collections::BTreeSet;
 use std::fs::{File, TryLockError};
@@ -109,6 +110,28 @@
     state.handover().is_followed(own, |other| state.living.contains(&other))
 }
 
+/// The processes of this broker that were started before this one.
+#[derive(Debug, Clone)]
+pub struct Predecessors {
+    /// The hand-over file.
+    pub path: PathBuf,
+    /// The id of this process.
+    pub own: u64,
+    /// When this process was started.
+    pub started: Time,
+}
+
+impl Predecessors {
+    /// Whether one of them may still be running. If the file cannot be read, that is so.
+    pub fn may_run(&self, now: Time) -> bool {
+        let lives = |id| is_alive(&self.path, id);
+        match read_file(&self.path) {
+            Ok(left) => left.unwrap_or_default().is_preceded((self.started, self.own), now, lives),
+            Err(_) => true,
+        }
+    }
+}
+
 /// The lock for writing the file, with the file's content when the lock was taken.
 #[derive(Debug)]
 pub struct LockedFile {
--- a/src/run/listen.rs
+++ b/src/run/listen.rs
@@ -29,12 +29,18 @@
 /// Opens a listening socket like [`listen`], but retries while the previous process may still hold the address.
 pub async fn listen_soon(address: &str) -> Result<TcpListener, StartError> {
     let until = Instant::now() + BIND_TIMEOUT;
+    listen_while(address, || Instant::now() < until).await
+}
+
+/// Opens a listening socket like [`listen`]; while another process holds the address, retries for as long as `waits` says.
+pub async fn listen_while(address: &str, waits: impl Fn() -> bool) -> Result<TcpListener, StartError> {
+    let mut logged = false;
     loop {
         match listen(address) {
-            Err(StartError::Io { what, error })
-                if error.kind() == ErrorKind::AddrInUse && Instant::now() < until =>
-            {
-                tracing::warn!(what, %error, "tried again");
+            Err(StartError::Io { what, error }) if error.kind() == ErrorKind::AddrInUse && waits() => {
+                if !std::mem::replace(&mut logged, true) {
+                    tracing::warn!(what, %error, "tried again until it is free");
+                }
                 tokio::time::sleep(BIND_RETRY).await;
             }
             listener => return listener,
--- a/src/run/nbd.rs
+++ b/src/run/nbd.rs
@@ -2,9 +2,10 @@
 
 use super::catalogue::{Deploy, Shared};
 use super::error::StartError;
+use super::folder::{run_blocking, Predecessors};
 use super::front::{sweep, Front};
 use super::limits::Limits;
-use super::listen::listen;
+use super::listen::{listen_soon, listen_while};
 use super::nbd_file::{NbdFile, Reread};
 use super::peers::{Peers, SharedStatus};
 use super::planner_driver::PlannerDriver;
@@ -26,9 +27,10 @@
 use crate::wire::nbd::Nbd;
 use crate::wire::session::{RequestIds, SessionContext};
 use bytes::Bytes;
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
 use tokio::sync::{oneshot, watch};
@@ -48,6 +50,8 @@
     pub phase: watch::Receiver<Phase>,
     /// Until when anything may be written to nodes.
     pub permit: Permit,
+    /// What is known of the agreement among peers, kept up to date for operators.
+    pub agreement: SharedStatus,
 }
 
 /// The front as it runs.
@@ -56,12 +60,84 @@
     pub slots: ClientSlots,
     /// The task that takes new ones.
     pub accepting: JoinHandle<()>,
-    /// Its planner.
-    pub planner: UnboundedSender<Input<Nbd>>,
     /// Where the fleet is told that all clients are gone.
     ending: UnboundedSender<oneshot::Sender<()>>,
-    /// What is known of the agreement among peers, if there are peers.
-    pub agreement: Option<SharedStatus>,
+}
+
+/// The front, once it runs.
+pub type SharedFront = Rc<OnceCell<Running>>;
+
+/// What a front is started from.
+pub struct Start {
+    /// The NBD file.
+    pub deploy: Deploy,
+    /// The path of that file.
+    pub path: String,
+    /// What is shared with the rest of the broker.
+    pub place: Place,
+    /// The limits from the settings.
+    pub bounds: Bounds,
+}
+
+/// How often it is looked whether the process before this one has ended.
+const PREDECESSOR_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// How long the address may still be held once the process before this one has ended.
+const ADDRESS_RELEASE_TIMEOUT: Duration = Duration::from_secs(4);
+
+impl Start {
+    /// Starts the front. Must run inside a [`tokio::task::LocalSet`].
+    pub async fn now(self) -> Result<Running, StartError> {
+        let listener = listen_soon(self.deploy.listen.as_deref().unwrap_or_default()).await?;
+        start(self, listener)
+    }
+
+    /// Starts the front once the processes before this one have ended: two at once would write sums over one another's, and
+    /// answer their peers under one name. Clients that connect meanwhile wait from the moment at which the address is free.
+    /// Must run inside a [`tokio::task::LocalSet`].
+    pub async fn after(mut self, predecessors: Predecessors, front: SharedFront) {
+        tracing::info!("NBD front waits for the process before this one to end");
+        let address = self.deploy.listen.clone().unwrap_or_default();
+        let ended_at = Rc::new(Cell::new(None::<Instant>));
+        let waits = || ended_at.get().is_none_or(|at| at.elapsed() < ADDRESS_RELEASE_TIMEOUT);
+        let ended = async {
+            wait_for_end(predecessors, self.place.clock).await;
+            ended_at.set(Some(Instant::now()));
+        };
+        let (listener, ()) = tokio::join!(listen_while(&address, waits), ended);
+        if self.place.phase.borrow().last_answer_at().is_some() {
+            return;
+        }
+        self.reread().await;
+        match listener.and_then(|listener| start(self, listener)) {
+            Ok(running) => drop(front.set(running)),
+            Err(error) => tracing::error!(%error, "NBD front not started"),
+        }
+    }
+
+    /// Reads the file anew: it may have been written since this process was started.
+    async fn reread(&mut self) {
+        let path = self.path.clone();
+        match run_blocking(move || Deploy::load(&path)).await {
+            Some(Ok(Some(deploy))) => self.deploy = deploy,
+            Some(Ok(None)) | None => {
+                tracing::error!(path = self.path, "configuration was not read; the one of the start holds");
+            }
+            Some(Err(error)) => {
+                tracing::error!(%error, "configuration not taken; the one of the start holds")
+            }
+        }
+    }
+}
+
+/// Waits until no process that was started before this one is running.
+async fn wait_for_end(predecessors: Predecessors, clock: Clock) {
+    loop {
+        let (looked_for, now) = (predecessors.clone(), clock.now());
+        if run_blocking(move || looked_for.may_run(now)).await == Some(false) {
+            return;
+        }
+        tokio::time::sleep(PREDECESSOR_CHECK_INTERVAL).await;
+    }
 }
 
 /// How long the last notes at the nodes may take.
@@ -104,8 +180,8 @@
     }
 }
 
-/// Starts the front. Must run inside a [`tokio::task::LocalSet`].
-pub fn start(deploy: Deploy, path: String, place: Place, bounds: Bounds) -> Result<Running, StartError> {
+fn start(start: Start, listener: TcpListener) -> Result<Running, StartError> {
+    let Start { deploy, path, place, bounds } = start;
     let address = deploy.listen.clone().unwrap_or_default();
     let pool = PoolLimits { links: place.limits.links, links_per_node: 16, terms: bounds.links() };
     let planner = Planner::<Nbd>::new(deploy.settings(), place.seed, place.clock.now(), pool)?;
@@ -137,7 +213,7 @@
     tokio::task::spawn_local(driver.run(Node::new));
     let slots = ClientSlots::default();
     let front = Front {
-        listener: listen(&address)?,
+        listener,
         context: SessionContext {
             planner: own.clone(),
             guard: request_guard,
@@ -157,15 +233,13 @@
     let accepting = tokio::task::spawn_local(front.accept(move || Client::new(exports.clone(), ids.clone())));
     let mut hangup =
         signal(SignalKind::hangup()).map_err(|error| StartError::Io { what: "SIGHUP".to_string(), error })?;
-    let mut agreement_status = None;
     // Where news of the configuration go: to the peers, or into force at once where there are none.
     let mut news: Box<dyn FnMut(Shared)> = if deploy.peers.len() > 1 {
         let (wish, wishes) = unbounded_channel();
         let ids: Vec<u64> = deploy.peers.iter().map(|p| p.id).collect();
         let agreement = Agreement::new(deploy.own_peer, &ids, deploy.kept.clone())?;
         let (own, first) = (deploy.own_peer, encode(&deploy.shared));
-        let status = SharedStatus::default();
-        agreement_status = Some(status.clone());
+        let status = place.agreement;
         let all = deploy.peers.clone();
         let peers = Peers { own, all, agreement, wishes, first, status };
         peers.start(move |value| match serde_json::from_slice(&value) {
@@ -179,7 +253,7 @@
         applied.apply(&deploy.shared);
         Box::new(move |shared| applied.apply(&shared))
     };
-    let agrees = agreement_status.is_some();
+    let agrees = deploy.peers.len() > 1;
     tokio::task::spawn_local(async move {
         let mut file = NbdFile::new(path, deploy.shared).await;
         while hangup.recv().await.is_some() {
@@ -202,7 +276,7 @@
         }
     });
     tracing::info!(listen = address, "NBD front on");
-    Ok(Running { slots, accepting, planner: own, ending, agreement: agreement_status })
+    Ok(Running { slots, accepting, ending })
 }
 
 fn encode(shared: &Shared) -> Bytes {
--- a/src/run/start.rs
+++ b/src/run/start.rs
@@ -11,6 +11,7 @@
 use super::limits::Limits;
 use super::listen::{adopt, listen_soon};
 use super::nbd;
+use super::peers::SharedStatus;
 use super::planner_driver::PlannerDriver;
 use super::reload::{longest, ConfigReloader};
 use super::stop::Shutdown;
@@ -86,6 +87,7 @@
     // Reads the state that the previous process left; that process may still be running.
     let name = format!("claywinch-{}.handover", config.name.replace(['/', '\\', '.'], "_"));
     let file = config.folder.filter(|_| passed.is_some() || config.admin.is_some()).map(|f| f.join(name));
+    let started = clock.now();
     let id = config.seed ^ u64::from(std::process::id()).rotate_left(32);
     let (left, another_lives) = file.as_deref().map_or((None, false), |path| folder::inherit(path, id));
     let beside = passed.is_some() && another_lives;
@@ -220,15 +222,7 @@
     if let Some(path) = &file {
         let task = HandoverTask {
             path: path.clone(),
-            own: Process {
-                id,
-                started: clock.now(),
-                ready: false,
-                beat: 0,
-                held: 0,
-                part: 0.0,
-                locks: lock.is_some(),
-            },
+            own: Process { id, started, ready: false, beat: 0, held: 0, part: 0.0, locks: lock.is_some() },
             maintenance: maintenance.clone(),
             revision,
             save_requests: wanted,
@@ -252,19 +246,30 @@
     }
     let accepting = tokio::task::spawn_local(front.accept(move || Client::new(common.clone())));
     tokio::task::spawn_local(sweep(slots.clone(), clock));
-    let nbd = match deploy.filter(|_| nbd_on) {
-        None => None,
-        Some(deploy) => {
-            let phase = phases.clone();
-            // The NBD nodes are listed in a file, so the age of discovery's list does not limit sending to them.
-            let list = Cell::new(Time::MAX);
-            let permit = Rc::new(SendDeadlines { lease: permit.lease.clone(), list });
-            let loop_clock = loop_clock.clone();
-            let place =
-                nbd::Place { clock, loop_clock, seed: config.seed, limits: nbd_limits, phase, permit };
-            Some(nbd::start(deploy, config.nbd_file, place, bounds)?)
+    let (nbd, mut agreement) = (nbd::SharedFront::default(), None);
+    if let Some(deploy) = deploy.filter(|_| nbd_on) {
+        let status = SharedStatus::default();
+        agreement = Some(status.clone()).filter(|_| deploy.peers.len() > 1);
+        // The NBD nodes are listed in a file, so the age of discovery's list does not limit sending to them.
+        let list = Cell::new(Time::MAX);
+        let place = nbd::Place {
+            clock,
+            loop_clock: loop_clock.clone(),
+            seed: config.seed,
+            limits: nbd_limits,
+            phase: phases.clone(),
+            permit: Rc::new(SendDeadlines { lease: permit.lease.clone(), list }),
+            agreement: status,
+        };
+        let start = nbd::Start { deploy, path: config.nbd_file, place, bounds };
+        match file.clone().filter(|_| another_lives) {
+            Some(path) => {
+                let predecessors = folder::Predecessors { path, own: id, started };
+                tokio::task::spawn_local(start.after(predecessors, nbd.clone()));
+            }
+            None => drop(nbd.set(start.now().await?)),
         }
-    };
+    }
     let cluster = match config.cluster {
         None => None,
         Some(file) => {
@@ -294,7 +299,7 @@
             planner: own.clone(),
             state_saver: keeper,
             cluster,
-            agreement: nbd.as_ref().and_then(|front| front.agreement.clone()),
+            agreement,
             clock,
         });
         let callers = ClientSlots::default();
--- a/src/run/stop.rs
+++ b/src/run/stop.rs
@@ -37,8 +37,8 @@
     pub loop_clock: LoopClock,
     /// The slots of connected clients.
     pub slots: ClientSlots,
-    /// The NBD front, if there is one.
-    pub nbd: Option<nbd::Running>,
+    /// The NBD front, if there is one and it runs.
+    pub nbd: nbd::SharedFront,
     /// The task that accepts new connections.
     pub accepting: JoinHandle<()>,
     /// The longest deadline of the settings in force.
@@ -61,7 +61,7 @@
             self.loop_clock.sleep_until(signalled_at + last_read(self.grace())).await;
         }
         self.step(Transition::Close, self.loop_clock.now());
-        let empty = || self.slots.is_empty() && self.nbd.as_ref().is_none_or(|n| n.slots.is_empty());
+        let empty = || self.slots.is_empty() && self.nbd.get().is_none_or(|n| n.slots.is_empty());
         let emptied = async {
             // Connections in the accept queue get their client slots first. An accept task that has ended adds none.
             let _ = self.accepting.await;
@@ -71,7 +71,7 @@
         };
         match tokio::time::timeout(LAST_ANSWERS_TIMEOUT, emptied).await {
             Ok(()) => {
-                if let Some(nbd) = &self.nbd {
+                if let Some(nbd) = self.nbd.get() {
                     nbd.close().await;
                 }
                 tracing::info!(violations = %self.guard.violations(), "stopped");
--- a/src/state/handover.rs
+++ b/src/state/handover.rs
@@ -167,6 +167,13 @@
         self.processes.iter().filter(later).any(|p| p.locks && lives(p.id))
     }
 
+    /// Returns whether a process that started before `own` may still be running. One that holds a lock while it lives is judged
+    /// by `lives`, any other by its last record.
+    pub fn is_preceded(&self, own: (Time, u64), now: Time, lives: impl Fn(u64) -> bool) -> bool {
+        let runs = |p: &&Process| if p.locks { lives(p.id) } else { now - p.beat < HEARTBEAT_TIMEOUT };
+        self.processes.iter().filter(|p| (p.started, p.id) < own).any(|p| runs(&p))
+    }
+
     /// Returns the number of descriptors that the other running processes hold; `None` if no other process runs.
     pub fn held_by_others(&self, own: &Process, now: Time) -> Option<usize> {
         let others = self.processes.iter().filter(|p| p.id != own.id && now - p.beat < HEARTBEAT_TIMEOUT);
