--- a/src/run/nbd.rs
+++ b/src/run/nbd.rs
@@ -34,7 +34,6 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
 use tokio::sync::{oneshot, watch};
-use tokio::task::JoinHandle;
 
 /// What the front shares with the rest of the broker.
 pub struct Place {
@@ -58,8 +57,6 @@
 pub struct Running {
     /// Its clients.
     pub slots: ClientSlots,
-    /// The task that takes new ones.
-    pub accepting: JoinHandle<()>,
     /// Where the fleet is told that all clients are gone.
     ending: UnboundedSender<oneshot::Sender<()>>,
 }
@@ -230,7 +227,7 @@
         waiting: RefCell::default(),
     };
     tokio::task::spawn_local(sweep(slots.clone(), place.clock));
-    let accepting = tokio::task::spawn_local(front.accept(move || Client::new(exports.clone(), ids.clone())));
+    tokio::task::spawn_local(front.accept(move || Client::new(exports.clone(), ids.clone())));
     let mut hangup =
         signal(SignalKind::hangup()).map_err(|error| StartError::Io { what: "SIGHUP".to_string(), error })?;
     // Where news of the configuration go: to the peers, or into force at once where there are none.
@@ -276,7 +273,7 @@
         }
     });
     tracing::info!(listen = address, "NBD front on");
-    Ok(Running { slots, accepting, ending })
+    Ok(Running { slots, ending })
 }
 
 fn encode(shared: &Shared) -> Bytes {
