--- a/review/stand-ins-2/src/cases/flush.rs
+++ b/review/stand-ins-2/src/cases/flush.rs
@@ -56,7 +56,7 @@
         file += &format!("[[node]]\nid = \"d-0000000{shard}\"\naddress = \"{address}\"\nshard = {shard}\n");
     }
     let file = folder.write("nbd.toml", &file)?;
-    let discovery = Discovery::start(&[], record)?;
+    let discovery = Discovery::start(&[])?;
     let setup = Setup {
         name: "n3",
         settings: settings(1, 0),
--- a/review/stand-ins-2/src/cases/mod.rs
+++ b/review/stand-ins-2/src/cases/mod.rs
@@ -1,6 +1,8 @@
 //! The cases by their names.
 
 mod flush;
+mod hang_upload;
+mod leave_upload;
 mod minority;
 mod pieces;
 mod value_behind;
@@ -18,6 +20,8 @@
 pub fn play(name: &str, context: &Context) -> Result<Verdict, String> {
     match name {
         "flush" => flush::play(context),
+        "hang-upload" => hang_upload::play(context),
+        "leave-upload" => leave_upload::play(context),
         "minority" => minority::play(context),
         "pieces" => pieces::play(context),
         "value-cut" => value_cut::play(context),
@@ -33,20 +37,33 @@
 /// Starts one broker before discovery with the disk node at `first` and others, which are in no trouble, and waits until it
 /// serves.
 fn one_broker(context: &Context, folder: &Folder, first: &str, memory_mb: u32) -> Result<Broker, String> {
+    one_broker_with(context, folder, first, Place { memory_mb, admin: None })
+}
+
+/// What a broker of a case has.
+struct Place {
+    memory_mb: u32,
+    /// Where operators call, if anywhere.
+    admin: Option<String>,
+}
+
+/// The same for a broker that operators may call.
+fn one_broker_with(context: &Context, folder: &Folder, first: &str, place: Place) -> Result<Broker, String> {
+    let Place { memory_mb, admin } = place;
     let record = &context.record;
     let mut members = vec![Member::ready("s-5be2a070", first, 0)];
     for shard in 1..NODES {
         let sound = node(|_, out| out.write_all(&served(b"small")).is_ok())?;
         members.push(Member::ready(&format!("s-5be2a07{shard}"), &sound, shard));
     }
-    let discovery = Discovery::start(&members, record)?;
+    let discovery = Discovery::start(&members)?;
     let setup = Setup {
         name: "n3",
         settings: settings(3, 0),
         discovery: &discovery.address,
         memory_mb,
         nbd: None,
-        admin: None,
+        admin,
     };
     let broker = Broker::start(folder, &setup, record)?;
     let mut number = 0;
--- a/review/stand-ins-2/src/discovery.rs
+++ b/review/stand-ins-2/src/discovery.rs
@@ -1,6 +1,5 @@
 //! A stand-in for the discovery service: HTTP/1.1, whole lists and watches.
 
-use crate::record::Record;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
@@ -41,16 +40,15 @@
 pub struct Discovery {
     pub address: String,
     state: Arc<(Mutex<State>, Condvar)>,
-    record: Record,
 }
 
 impl Discovery {
-    pub fn start(members: &[Member], record: &Record) -> Result<Discovery, String> {
+    pub fn start(members: &[Member]) -> Result<Discovery, String> {
         let listener = TcpListener::bind("127.0.0.1:0").map_err(|error| error.to_string())?;
         let address = listener.local_addr().map_err(|error| error.to_string())?.to_string();
         let state = State { revision: 1, members: members.iter().map(|m| (1, m.clone())).collect() };
         let state = Arc::new((Mutex::new(state), Condvar::new()));
-        let discovery = Discovery { address, state, record: record.clone() };
+        let discovery = Discovery { address, state };
         let serving = discovery.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -61,20 +59,6 @@
         Ok(discovery)
     }
 
-    /// Lists a member as it is from now on.
-    pub fn set(&self, member: Member) {
-        let (state, changed) = &*self.state;
-        let Ok(mut state) = state.lock() else { return };
-        state.revision += 1;
-        let revision = state.revision;
-        self.record.note(format!("discovery: revision {revision}: {} is {}", member.id, member.phase));
-        match state.members.iter_mut().find(|(_, m)| m.id == member.id) {
-            Some(known) => *known = (revision, member),
-            None => state.members.push((revision, member)),
-        }
-        changed.notify_all();
-    }
-
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let Ok(mut out) = stream.try_clone() else { return };
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -1,11 +1,10 @@
 //! The cases of the second review: each starts the project's broker as processes and plays clients, disk nodes and the
 //! platform around it. `review-2 case NAME FOLDER` plays a case and writes `record.txt` into the folder.
 
-#![allow(dead_code)]
-
 mod cases;
 mod discovery;
 mod nbd;
+mod packets;
 mod process;
 mod record;
 mod resp;
@@ -53,6 +52,17 @@
     verdict
 }
 
+/// The exit code of a disk node.
+fn ended(outcome: Result<(), String>) -> ExitCode {
+    match outcome {
+        Ok(()) => ExitCode::from(0),
+        Err(reason) => {
+            eprintln!("{reason}");
+            ExitCode::from(2)
+        }
+    }
+}
+
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
     let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
@@ -75,15 +85,10 @@
                 }
             }
         }
-        ["nbd-node", address, file] => match nbd::node_process(address, file) {
-            Ok(()) => ExitCode::from(0),
-            Err(reason) => {
-                eprintln!("{reason}");
-                ExitCode::from(2)
-            }
-        },
+        ["nbd-node", address, file] => ended(nbd::node_process(address, file)),
+        ["resp-node", address, log] => ended(resp::node_process(address, log)),
         _ => {
-            eprintln!("review-2 case NAME FOLDER | nbd-node ADDRESS FILE");
+            eprintln!("review-2 case NAME FOLDER | nbd-node ADDRESS FILE | resp-node ADDRESS LOG");
             ExitCode::from(2)
         }
     }
--- a/review/stand-ins-2/src/process.rs
+++ b/review/stand-ins-2/src/process.rs
@@ -170,8 +170,6 @@
     pub process: Process,
     /// Where RESP2 clients connect.
     pub listen: String,
-    /// Its configuration file.
-    pub config: PathBuf,
     pub log: PathBuf,
 }
 
@@ -216,7 +214,7 @@
             command.env("CLAYWINCH_LOG", level);
         }
         let process = Process::start(&mut command)?;
-        let mut broker = Broker { process, listen, config, log };
+        let mut broker = Broker { process, listen, log };
         let answers = || crate::resp::pings(&broker.listen);
         if !until(Duration::from_secs(10), answers) {
             return Err(format!("broker {name} does not answer PING: {}", broker.log_text()));
--- a/review/stand-ins-2/src/resp.rs
+++ b/review/stand-ins-2/src/resp.rs
@@ -23,6 +23,12 @@
     command(&[b"OBJ.GET", format!("{piece:016x}").as_bytes(), id.as_bytes(), fields.as_bytes()])
 }
 
+/// A write of one unit of a piece for shard 0.
+pub fn put(piece: u64, id: &str, class: &str, wait_ms: u64, body: &[u8]) -> Vec<u8> {
+    let fields = format!("c={class},t=standard,d={wait_ms},volume=00000003b4d60021,units=1,shard=0,hosts=1");
+    command(&[b"OBJ.PUT", format!("{piece:016x}").as_bytes(), id.as_bytes(), fields.as_bytes(), body])
+}
+
 /// Whether a broker answers `PING` with `+PONG`.
 pub fn pings(address: &str) -> bool {
     let Ok(mut stream) = TcpStream::connect(address) else { return false };
@@ -138,7 +144,6 @@
     pub verb: String,
     pub piece: String,
     pub id: String,
-    pub fields: String,
     pub body: Vec<u8>,
 }
 
@@ -162,8 +167,8 @@
     let mut words = words.into_iter();
     let mut next = || words.next().unwrap_or_default();
     let text = |word: Vec<u8>| String::from_utf8_lossy(&word).to_string();
-    let (verb, piece, id, fields) = (text(next()), text(next()), text(next()), text(next()));
-    Some(Asked { verb, piece, id, fields, body: next() })
+    let (verb, piece, id, _fields) = (text(next()), text(next()), text(next()), next());
+    Some(Asked { verb, piece, id, body: next() })
 }
 
 /// A disk node, which calls this for each command. The connection ends when it returns false.
@@ -172,32 +177,55 @@
 ) -> Result<String, String> {
     let listener = TcpListener::bind("127.0.0.1:0").map_err(|error| error.to_string())?;
     let address = listener.local_addr().map_err(|error| error.to_string())?.to_string();
-    let serve = Arc::new(serve);
-    thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let serve = serve.clone();
-            thread::spawn(move || {
-                let _ = stream.set_nodelay(true);
-                let Ok(mut out) = stream.try_clone() else { return };
-                let mut input = BufReader::new(stream);
-                while let Some(asked) = read_command(&mut input) {
-                    let goes_on = match asked.verb.as_str() {
-                        "PING" => out.write_all(b"+PONG\r\n").is_ok(),
-                        "CLIENT" | "SELECT" => out.write_all(b"+OK\r\n").is_ok(),
-                        "OBJ.GET" | "OBJ.PUT" => serve(&asked, &mut out),
-                        _ => out.write_all(b"-ERR unknown command\r\n").is_ok(),
-                    };
-                    if !goes_on {
-                        let _ = out.shutdown(std::net::Shutdown::Both);
-                        return;
-                    }
-                }
-            });
-        }
-    });
+    thread::spawn(move || accept(listener, Arc::new(serve)));
     Ok(address)
 }
 
+/// What a disk node does with a command; false ends the connection.
+trait Serve: Fn(&Asked, &mut TcpStream) -> bool + Send + Sync + 'static {}
+
+impl<F: Fn(&Asked, &mut TcpStream) -> bool + Send + Sync + 'static> Serve for F {}
+
+/// Serves the connections of brokers for good.
+fn accept(listener: TcpListener, serve: Arc<impl Serve>) {
+    for stream in listener.incoming().flatten() {
+        let serve = serve.clone();
+        thread::spawn(move || connection(stream, &*serve));
+    }
+}
+
+fn connection(stream: TcpStream, serve: &impl Serve) {
+    let _ = stream.set_nodelay(true);
+    let Ok(mut out) = stream.try_clone() else { return };
+    let mut input = BufReader::new(stream);
+    while let Some(asked) = read_command(&mut input) {
+        let goes_on = match asked.verb.as_str() {
+            "PING" => out.write_all(b"+PONG\r\n").is_ok(),
+            "CLIENT" | "SELECT" => out.write_all(b"+OK\r\n").is_ok(),
+            "OBJ.GET" | "OBJ.PUT" => serve(&asked, &mut out),
+            _ => out.write_all(b"-ERR unknown command\r\n").is_ok(),
+        };
+        if !goes_on {
+            let _ = out.shutdown(std::net::Shutdown::Both);
+            return;
+        }
+    }
+}
+
+/// A sound disk node as a process of its own, behind a network with packets of the usual size, which writes into a log what it has run.
+pub fn node_process(address: &str, log: &str) -> Result<(), String> {
+    let listener = TcpListener::bind(address).map_err(|error| format!("{address}: {error}"))?;
+    crate::packets::usual_size(&listener)?;
+    let log = std::fs::File::create(log).map_err(|error| format!("{log}: {error}"))?;
+    let serve = move |asked: &Asked, out: &mut TcpStream| {
+        let line = format!("ran {} {}: {} bytes\n", asked.verb, asked.id, asked.body.len());
+        let _ = (&log).write_all(line.as_bytes());
+        out.write_all(&served(b"small")).is_ok()
+    };
+    accept(listener, Arc::new(serve));
+    Ok(())
+}
+
 /// The answer of a node that has served a value: the value, no figures on use, no load report.
 pub fn served(value: &[u8]) -> Vec<u8> {
     let mut out = format!("*3\r\n${}\r\n", value.len()).into_bytes();
