--- a/review/stand-ins-2/src/cases/minority.rs
+++ b/review/stand-ins-2/src/cases/minority.rs
@@ -20,12 +20,16 @@
 const GRACE: Duration = Duration::from_millis(6_300);
 
 /// A disk that notes when it was asked for what.
-struct Noted {
+pub struct Noted {
     bytes: Mutex<Vec<u8>>,
-    asked: Mutex<Vec<(Instant, &'static str, u8)>>,
+    pub asked: Mutex<Vec<(Instant, &'static str, u8)>>,
 }
 
 impl Noted {
+    pub fn empty() -> Arc<Noted> {
+        Arc::new(Noted { bytes: Mutex::new(vec![0; SIZE]), asked: Mutex::default() })
+    }
+
     fn note(&self, what: &'static str, mark: u8) {
         self.asked.lock().expect("a list").push((Instant::now(), what, mark));
     }
@@ -95,8 +99,7 @@
 pub fn play(context: &Context) -> Result<Verdict, String> {
     let record = &context.record;
     let folder = Folder::create("minority")?;
-    let empty = || Arc::new(Noted { bytes: Mutex::new(vec![0; SIZE]), asked: Mutex::default() });
-    let (old, new) = (empty(), empty());
+    let (old, new) = (Noted::empty(), Noted::empty());
     let (old_address, new_address) = (node(old.clone())?, node(new.clone())?);
     let addresses: Vec<String> = (0..3).map(|_| free_address()).collect::<Result<_, _>>()?;
     let cut = Arc::new(AtomicBool::new(false));
@@ -215,7 +218,7 @@
     })
 }
 
-fn word(reply: &Reply) -> String {
+pub fn word(reply: &Reply) -> String {
     match reply {
         Reply::Done(bytes) if bytes.is_empty() => "acknowledged".to_string(),
         Reply::Done(bytes) => format!("it holds {}", bytes[0]),
--- a/review/stand-ins-2/src/cases/mod.rs
+++ b/review/stand-ins-2/src/cases/mod.rs
@@ -1,10 +1,12 @@
 //! The cases by their names.
 
+mod agreed;
 mod flush;
 mod hang_upload;
 mod leave_upload;
 mod minority;
 mod pieces;
+mod slow_reader;
 mod value_behind;
 mod value_cut;
 mod value_held;
@@ -19,11 +21,13 @@
 /// Plays a case.
 pub fn play(name: &str, context: &Context) -> Result<Verdict, String> {
     match name {
+        "agreed" => agreed::play(context),
         "flush" => flush::play(context),
         "hang-upload" => hang_upload::play(context),
         "leave-upload" => leave_upload::play(context),
         "minority" => minority::play(context),
         "pieces" => pieces::play(context),
+        "slow-reader" => slow_reader::play(context),
         "value-cut" => value_cut::play(context),
         "value-held" => value_held::play(context),
         "value-behind" => value_behind::play(context),
--- a/review/stand-ins-2/src/process.rs
+++ b/review/stand-ins-2/src/process.rs
@@ -6,6 +6,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
@@ -74,10 +75,22 @@
     }
 }
 
-/// An address on the loopback interface that nothing listens on.
+/// An address on the loopback interface that nothing listens on. Connections that are made to anywhere on it come from
+/// 127.0.0.1, so none of them takes the port of an address under another number.
 pub fn free_address() -> Result<String, String> {
-    let listener = TcpListener::bind("127.0.0.1:0").map_err(|error| format!("no free port: {error}"))?;
-    listener.local_addr().map(|address| address.to_string()).map_err(|error| error.to_string())
+    static NUMBER: AtomicU32 = AtomicU32::new(0);
+    let process = std::process::id();
+    for _ in 0..200 {
+        let number = NUMBER.fetch_add(1, Ordering::SeqCst) % 250 + 1;
+        let host = format!("127.{}.{}.{number}", 64 + (process >> 8) % 64, process % 256);
+        if let Ok(listener) = TcpListener::bind(format!("{host}:0")) {
+            return listener
+                .local_addr()
+                .map(|address| address.to_string())
+                .map_err(|error| error.to_string());
+        }
+    }
+    Err("no free port".to_string())
 }
 
 /// A temporary folder, removed when it is dropped.
