--- a/review/stand-ins-2/src/cases/agreed.rs
+++ b/review/stand-ins-2/src/cases/agreed.rs
@@ -14,7 +14,7 @@
 /// The grace of 250 ms, 6 s after which a change counts as told at the latest, and 50 ms.
 const GRACE: Duration = Duration::from_millis(6_300);
 /// The plan that is new.
-const NEW_PLAN: &str = "[[plan]]\nname = \"election-night\"\nrate = 800.0\nreserve = 640.0\n";
+const NEW_PLAN: &str = "[[plan]]\nname = \"election-night\"\nrate = 120.0\nreserve = 96.0\n";
 
 pub fn play(context: &Context) -> Result<Verdict, String> {
     let record = &context.record;
--- a/review/stand-ins-2/src/cases/mod.rs
+++ b/review/stand-ins-2/src/cases/mod.rs
@@ -104,8 +104,8 @@
 
 [[plan]]
 name = "standard"
-rate = 400.0
-reserve = 320.0
+rate = 60.0
+reserve = 48.0
 
 [[export]]
 name = "tallies"
--- a/review/stand-ins-2/src/resp.rs
+++ b/review/stand-ins-2/src/resp.rs
@@ -19,13 +19,15 @@
 
 /// A read of one unit of a piece for shard 0.
 pub fn get(piece: u64, id: &str, class: &str, wait_ms: u64) -> Vec<u8> {
-    let fields = format!("c={class},t=standard,d={wait_ms},volume=00000003b4d60021,units=1,shard=0,hosts=1");
+    let fields =
+        format!("c={class},t=election-night,d={wait_ms},volume=00000003b4d60021,units=1,shard=0,hosts=1");
     command(&[b"OBJ.GET", format!("{piece:016x}").as_bytes(), id.as_bytes(), fields.as_bytes()])
 }
 
 /// A write of one unit of a piece for shard 0.
 pub fn put(piece: u64, id: &str, class: &str, wait_ms: u64, body: &[u8]) -> Vec<u8> {
-    let fields = format!("c={class},t=standard,d={wait_ms},volume=00000003b4d60021,units=1,shard=0,hosts=1");
+    let fields =
+        format!("c={class},t=election-night,d={wait_ms},volume=00000003b4d60021,units=1,shard=0,hosts=1");
     command(&[b"OBJ.PUT", format!("{piece:016x}").as_bytes(), id.as_bytes(), fields.as_bytes(), body])
 }
 
