--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -36,6 +36,7 @@
     let record = Record::create(&Path::new(folder).join("record.txt"))?;
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     record.note(format!("case {name}, with the disruption: {trouble}"));
+    process::start_guard()?;
     let context = Context { record: record.clone(), trouble };
     std::thread::spawn(move || {
         std::thread::sleep(LONGEST);
@@ -85,6 +86,10 @@
                 }
             }
         }
+        ["guard"] => {
+            process::guard();
+            ExitCode::from(0)
+        }
         ["nbd-node", address, file] => ended(nbd::node_process(address, file)),
         ["resp-node", address, log] => ended(resp::node_process(address, log)),
         _ => {
--- a/review/stand-ins-2/src/process.rs
+++ b/review/stand-ins-2/src/process.rs
@@ -3,9 +3,10 @@
 use crate::record::Record;
 use std::collections::BTreeSet;
 use std::fs::File;
+use std::io::Write;
 use std::net::{TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStdin, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
@@ -19,6 +20,38 @@
     running.iter().for_each(|id| signal(*id, "KILL"));
 }
 
+/// Where the guard is told of processes that start and end.
+static GUARD: Mutex<Option<ChildStdin>> = Mutex::new(None);
+
+/// Starts the guard: a process that ends what this one has started, if this one is killed.
+pub fn start_guard() -> Result<(), String> {
+    let wrong = |error: std::io::Error| format!("guard: {error}");
+    let own = std::env::current_exe().map_err(wrong)?;
+    let guard = Command::new(own).arg("guard").stdin(Stdio::piped()).spawn().map_err(wrong)?;
+    *GUARD.lock().map_err(|_| "guard".to_string())? = guard.stdin;
+    Ok(())
+}
+
+/// Tells the guard that a process has started (`+`) or ended (`-`).
+fn tell_guard(sign: char, id: u32) {
+    if let Ok(mut guard) = GUARD.lock() {
+        let _ = guard.as_mut().map(|guard| guard.write_all(format!("{sign}{id}\n").as_bytes()));
+    }
+}
+
+/// The guard's own work: its input ends with the process that has started it.
+pub fn guard() {
+    let mut running = BTreeSet::new();
+    for line in std::io::stdin().lines().map_while(Result::ok) {
+        match line.split_at_checked(1).map(|(sign, id)| (sign, id.parse::<u32>())) {
+            Some(("+", Ok(id))) => drop(running.insert(id)),
+            Some(("-", Ok(id))) => drop(running.remove(&id)),
+            _ => {}
+        }
+    }
+    running.iter().for_each(|id| signal(*id, "KILL"));
+}
+
 /// Sends a signal to a process that the case has started.
 pub fn signal(id: u32, name: &str) {
     let _ = Command::new("/bin/sh").args(["-c", &format!("kill -{name} {id}")]).status();
@@ -33,6 +66,7 @@
         if let Ok(mut running) = RUNNING.lock() {
             running.insert(child.id());
         }
+        tell_guard('+', child.id());
         Ok(Process(child))
     }
 
@@ -58,6 +92,7 @@
         if let Ok(mut running) = RUNNING.lock() {
             running.remove(&self.0.id());
         }
+        tell_guard('-', self.0.id());
     }
 }
 
