Read a body that is under way to its end when the broker is emptied or stops

Callers saw: a write of over 64 KiB under way at LEAVE was answered 7.1 s after its last byte (-ERR failed) where 1.2 s were left; after SIGTERM it failed at the last moment, and one that began after SIGTERM had no answer before the kill.

Cause: Phase::stops_reading_at keeps a connection with an open request from being read, so that no further request is taken; a write whose body is coming is such a request itself. Only the planner's 10 s for bodies ended it, and that bound also replaced the last time for answers of attempts sent after SIGTERM.

Change: past that moment the rest of a body is read and no command behind it (ReadScope); a body that ends while the broker is emptied leaves its request until 3.8 s after the call; the planner keeps the last time for answers and holds later deadlines to it. It works because the time of such a request now begins with the last byte that the broker reads, as without the call.

--- a/src/state/phase.rs
+++ b/src/state/phase.rs
@@ -12,6 +12,9 @@
 /// How long after the drain call requests of drained clients are still read, in microseconds. The limit ensures that four
 /// seconds after the call no request that was read in the last two seconds is still open.
 const DRAIN_READ: Time = 1_600_000;
+/// How long after the drain call a request whose body ended after [`DRAIN_READ`] may stay open, in microseconds. Four seconds
+/// after the call no request that was read in the last two seconds may be open.
+const DRAIN_ANSWER: Time = 3_800_000;
 /// Idle timeout of a connection after another process has taken over, in microseconds.
 const HANDOVER_IDLE: Time = 1_200_000;
 /// How long before its end a process that hands over stops reading and closes its last connections, in microseconds, so
@@ -166,7 +169,8 @@
         }
     }
 
-    /// Returns the time from which on nothing more is read from clients with open requests, or `None` if reading goes on.
+    /// Returns the time from which on no further request is read from clients with open requests, or `None` if reading goes
+    /// on. The rest of a body that is under way is read until its request has its answer.
     pub fn stops_reading_at(self) -> Option<Time> {
         match self {
             Phase::Leaving(at) => Some(at + DRAIN_READ),
@@ -175,6 +179,15 @@
         }
     }
 
+    /// Returns the time by which a request must have its answer whose body was under way when the phase began and ended at
+    /// `now`, or `None` if the phase sets no limit.
+    pub fn body_answer_deadline(self, now: Time) -> Option<Time> {
+        match self {
+            Phase::Leaving(at) => Some(at + DRAIN_ANSWER).filter(|by| self.is_drained(now) && now < *by),
+            _ => self.last_answer_at(),
+        }
+    }
+
     /// Returns the last time at which an answer may be given before the process may be ended, or `None` if no stop signal
     /// has come.
     pub fn last_answer_at(self) -> Option<Time> {
--- a/src/state/planner/mod.rs
+++ b/src/state/planner/mod.rs
@@ -104,6 +104,8 @@
     events: Vec<Event>,
     actions: Vec<Action>,
     counts: Counts,
+    /// The time by which every request must have its answer, once the process is stopping.
+    answer_by: Time,
     /// Channels to notify at the end of this turn; see [`Input::Barrier`].
     barriers: Vec<oneshot::Sender<()>>,
 }
@@ -124,6 +126,7 @@
             events: Vec::new(),
             actions: Vec::new(),
             counts: Counts::default(),
+            answer_by: Time::MAX,
             barriers: Vec::new(),
         })
     }
@@ -432,6 +435,7 @@
 
     /// Moves the timeout of every attempt that would time out after `at` to `at`, and passes `at` to the scheduler.
     fn answer_all_by(&mut self, at: Time) {
+        self.answer_by = at;
         for (attempt_id, attempt) in self.attempts.iter_mut().filter(|(_, attempt)| attempt.until > at) {
             self.deadlines.remove(attempt.until, Deadline::Attempt(*attempt_id));
             self.deadlines.insert(at, Deadline::Attempt(*attempt_id));
@@ -621,6 +625,7 @@
     /// waiting time for the node counts from now, since the node begins only after the last byte of the body.
     fn set_due(&mut self, now: Time, id: RequestId, due: Time, complete: bool) {
         let Some(open) = self.requests.get(&id) else { return };
+        let due = due.min(self.answer_by);
         self.events.push(Event::BodyProgress(id, due, W::is_body_consumed(&open.request)));
         for (attempt_id, attempt) in self.attempts.range_mut((id, 0)..=(id, u32::MAX)) {
             self.deadlines.remove(attempt.until, Deadline::Attempt(*attempt_id));
--- a/src/wire/resp/server.rs
+++ b/src/wire/resp/server.rs
@@ -363,7 +363,7 @@
     }
 
     /// Moves received bytes of a long body into its window. Returns false if more data is needed or the window is full.
-    fn receive_body(&mut self, now: Time, read: &mut BytesMut) -> bool {
+    fn continue_body(&mut self, now: Time, read: &mut BytesMut) -> bool {
         let Some(upload) = &mut self.upload else { return true };
         if upload.writer.as_ref().is_some_and(PipeWriter::is_abandoned) {
             upload.writer = None;
@@ -469,7 +469,7 @@
         // Over the limit, the remaining commands wait in the buffer; the driver calls this again after `answer` has freed a slot.
         while !self.ending && !self.is_full() {
             if self.upload.is_some() {
-                match self.receive_body(now, read) {
+                match self.continue_body(now, read) {
                     true => continue,
                     false => break,
                 }
@@ -492,6 +492,17 @@
         self.flush();
     }
 
+    fn receives_body(&self) -> bool {
+        self.upload.is_some()
+    }
+
+    fn receive_body(&mut self, now: Time, read: &mut BytesMut) {
+        if self.upload.is_some() {
+            self.continue_body(now, read);
+        }
+        self.flush();
+    }
+
     fn answer(&mut self, number: RequestId, answer: Answer<Reply>) {
         let owed = |slot: &Slot| matches!(slot, Slot::Unanswered(owed) if owed.number == number);
         let Some(place) = self.slots.iter().position(owed) else { return self.flush() };
--- a/src/wire/session.rs
+++ b/src/wire/session.rs
@@ -58,6 +58,12 @@
 pub trait Session<W: Wire>: 'static {
     /// Parses and consumes the complete commands in `read`, and appends their requests. `now` is when the bytes arrived.
     fn receive(&mut self, now: Time, read: &mut BytesMut, requests: &mut Vec<(Arrival, W::Request)>);
+    /// Whether the rest of a request's body is still being received.
+    fn receives_body(&self) -> bool {
+        false
+    }
+    /// Consumes received bytes up to the end of the body that is being received, and no command behind it.
+    fn receive_body(&mut self, _now: Time, _read: &mut BytesMut) {}
     /// Accepts the final answer to a request.
     fn answer(&mut self, id: RequestId, answer: Answer<W::Reply>);
     /// Returns the bytes that wait to be written to the client.
@@ -108,6 +114,16 @@
     fn refuse_pending(&mut self) {}
 }
 
+/// What is consumed of the bytes that have been read from a client.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ReadScope {
+    /// All complete commands.
+    Commands,
+    /// Only the rest of the body that is being received: no further request is accepted any more, but one whose body
+    /// is under way can only be answered in time once its last byte has been read.
+    Body,
+}
+
 /// How the requests of a connection are handled.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
@@ -183,8 +199,10 @@
         if session.is_stream_broken() && !waiting {
             break CloseReason::BrokenValue;
         }
-        let idle = session.unanswered().is_empty() && !waiting && !session.is_streaming();
-        let evictable = idle && session.is_evictable();
+        let answered = session.unanswered().is_empty() && !waiting && !session.is_streaming();
+        let receives_body = session.receives_body();
+        let idle = answered && !receives_body;
+        let evictable = answered && session.is_evictable();
         slot.set_evictable(evictable.then(|| activity.spare()));
         let now = dispatcher.loop_clock.now();
         let deadline = activity.deadline(now, evictable, waiting);
@@ -199,13 +217,15 @@
         let batch = activity.batch_until(now).filter(|_| idle && admission == Admission::Served);
         let closes = closes.map(|at| at.max(batch.unwrap_or(at)));
         // A partial command does not keep the connection open beyond the last time at which it could be answered.
-        let ends = current_phase.last_answer_at().filter(|_| idle);
-        let stops_reading = current_phase.stops_reading_at().filter(|_| !idle);
-        let may_read = stops_reading.is_none_or(|at| at > now) && !session.is_ending();
+        let ends = current_phase.last_answer_at().filter(|_| answered);
+        let stops_reading = current_phase.stops_reading_at().filter(|_| !idle && !receives_body);
+        let takes_requests = current_phase.stops_reading_at().is_none_or(|at| at > now || idle);
+        let scope = if receives_body && !takes_requests { ReadScope::Body } else { ReadScope::Commands };
+        let may_read = (takes_requests || receives_body) && !session.is_ending();
         let accepts = may_read && !session.is_full() && session.outbox().len() < MAX_UNREAD_ANSWERS;
         if accepts && std::mem::take(&mut has_unparsed) {
             // Data that was read ahead is parsed and answered before the connection is considered for closing.
-            dispatcher.take(&stream, &mut session, &mut activity, &mut read);
+            has_unparsed |= dispatcher.take(&stream, &mut session, &mut activity, &mut read, scope);
             continue;
         }
         if over && waiting {
@@ -217,7 +237,8 @@
         }
         let unfinished = activity.has_partial_command()
             && (over || is_over(ends) || (evictable && slot.is_close_requested()));
-        if unfinished || (idle && (over || close_wanted)) {
+        let idle_end = (idle && (over || close_wanted)) || is_over(ends);
+        if unfinished || idle_end {
             // The process may have been paused while the time passed, so data that has arrived is read first. Yielding lets the
             // runtime poll the sockets again.
             let reads = current_phase.reads_idle_connections(now);
@@ -225,7 +246,8 @@
                 tokio::task::yield_now().await;
                 match stream.try_read_buf(&mut read) {
                     Ok(1..) => {
-                        dispatcher.take(&stream, &mut session, &mut activity, &mut read);
+                        has_unparsed |=
+                            dispatcher.take(&stream, &mut session, &mut activity, &mut read, scope);
                         continue;
                     }
                     Err(error) if is_transient(&error) => continue,
@@ -239,7 +261,7 @@
                     continue;
                 }
             }
-            if idle {
+            if idle || is_over(ends) {
                 break match (over, slot.is_close_requested()) {
                     (true, _) => CloseReason::Idle,
                     (false, true) => CloseReason::PlaceWanted,
@@ -276,7 +298,7 @@
                 }
                 // Parses data that was held back while too many requests were unanswered.
                 if !read.is_empty() && !session.is_full() {
-                    dispatcher.take(&stream, &mut session, &mut activity, &mut read);
+                    has_unparsed |= dispatcher.take(&stream, &mut session, &mut activity, &mut read, scope);
                 }
             }
             ready = stream.writable(), if waiting => {
@@ -306,7 +328,9 @@
                     Err(_) => break CloseReason::ClientGone,
                 }
                 match accepts {
-                    true => dispatcher.take(&stream, &mut session, &mut activity, &mut read),
+                    true => {
+                        has_unparsed |= dispatcher.take(&stream, &mut session, &mut activity, &mut read, scope);
+                    }
                     false => {
                         has_unparsed = true;
                         dispatcher.note_waiting_since(dispatcher.loop_clock.earliest_arrival());
@@ -326,7 +350,7 @@
             () = wait_for(wakeup) => {
                 // The limit of unanswered requests may allow data that was read before.
                 if !read.is_empty() && !session.is_full() {
-                    dispatcher.take(&stream, &mut session, &mut activity, &mut read);
+                    has_unparsed |= dispatcher.take(&stream, &mut session, &mut activity, &mut read, scope);
                 }
             }
             () = slot.woken() => {}
@@ -470,19 +494,24 @@
     }
 
     /// Has the session parse what was read, and passes its requests to the planner. A request's deadline counts from when the
-    /// data arrived, not from when the session could accept it.
+    /// data arrived, not from when the session could accept it. Returns whether `scope` has left bytes behind that may be a
+    /// further command.
     fn take<S: Session<W>>(
         &self,
         stream: &TcpStream,
         session: &mut S,
         activity: &mut Activity,
         read: &mut BytesMut,
-    ) {
+        scope: ReadScope,
+    ) -> bool {
         let (before, mut requests) = (read.len(), Vec::new());
         let came = self.loop_clock.earliest_arrival();
         let waiting_since = self.waiting_since.get();
         let arrived = waiting_since.map_or(came, |since| since.min(came));
-        session.receive(arrived, read, &mut requests);
+        match scope {
+            ReadScope::Commands => session.receive(arrived, read, &mut requests),
+            ReadScope::Body => session.receive_body(arrived, read),
+        }
         let waited_us = self.loop_clock.now() - arrived;
         if waited_us > LOGGED_WAIT && !requests.is_empty() {
             tracing::debug!(
@@ -511,10 +540,12 @@
             let _ = self.planner.send(Input::Request(ask));
         }
         while let Some((id, due)) = session.take_complete_upload() {
-            let due = self.due(due, arrived);
+            let last = self.phase.borrow().body_answer_deadline(arrived).unwrap_or(Time::MAX);
+            let due = self.admission.due(due.min(last), self.loop_clock.now());
             self.guard.retime(id, due);
             let _ = self.planner.send(Input::BodyComplete(id, due));
         }
+        scope == ReadScope::Body && !session.receives_body() && !read.is_empty()
     }
 
     /// Returns the deadline of a request that arrived at `arrived` and whose client waits until `due`: a broker that stops
--- /dev/null
+++ b/tests/long_values.rs
@@ -0,0 +1,139 @@
+//! Requests and answers of over 64 KiB on real sockets: when each ends, and what the process holds meanwhile.
+
+mod common;
+
+use common::net::*;
+use std::io::Write;
+use std::net::TcpStream;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// How long clients wait for an answer, counted from the last byte of the request.
+const WAIT: Duration = Duration::from_millis(1_200);
+/// An answer that comes later than this after its time counts as lost; every time limit is 50 ms longer.
+const LOST_AFTER: Duration = Duration::from_millis(550);
+/// The longest deadline of the settings.
+const LONGEST: Duration = Duration::from_secs(2);
+/// How long after the longest deadline SIGKILL comes at the earliest, counted from SIGTERM.
+const KILL_AFTER: Duration = Duration::from_millis(700);
+
+fn settings() -> String {
+    let class = |name: &str, effect: &str| {
+        format!(
+            r#"{{"name":"{name}","promise_s":0.5,"deadline_s":{},"credit":2.0,"late_worth":0.2,"effect":"{effect}"}}"#,
+            LONGEST.as_secs()
+        )
+    };
+    format!(
+        r#"{{"balancers":1,"localities":["a"],"registry_mode":"on_request","services":[{},{}],
+        "bounds":{{"most_tries":4,"second_copies":false,"cancel":true,"probes":false,"retry_after":true,
+          "max_retry_after_s":2.0,"conn_idle_s":15.0,"connect_timeout_s":0.25,"multiplex":16}},
+        "contracts":[{{"name":"standard","base_rate":500.0,"parts":1.0,"price":1.0,"floor_rate":400.0}}],
+        "extra":{{"usual_units":2.0,"largest":16,"fair_worth":0.4,"spare_worth":0.05,"young_limit":7.0}},
+        "rules":{{"start_capacity":0.15,"cold_s":1.0,"tip_after_s":0.5}}}}"#,
+        class("page-read", "free"),
+        class("tally-write", "single_shot")
+    )
+}
+
+/// A broker before one node, with an address for operators.
+struct Site {
+    broker: Broker,
+    admin: String,
+    _discovery: Discovery,
+}
+
+fn site(name: &str, node: &str) -> Site {
+    let member = format!(
+        r#"{{"id":"s-00000001","host_port":"{node}","locality":"a","cell":0,"phase":"ready","up_since_ms":0}}"#
+    );
+    let (discovery, at) = Discovery::start(&member);
+    let admin = free_address();
+    let broker = Broker::start_with(name, &settings(), &at, None, 256, &[("RELAY_ADMIN", &admin)]);
+    until("the list is in force", || broker.log().contains("list of nodes"));
+    Site { broker, admin, _discovery: discovery }
+}
+
+fn fields(class: &str) -> String {
+    let wait = WAIT.as_millis();
+    format!("c={class},t=standard,d={wait},volume=00000003b4d60021,units=2,shard=0,hosts=1")
+}
+
+/// A write of `length` bytes.
+fn put(id: usize, length: usize) -> Vec<u8> {
+    let fields = fields("tally-write");
+    let head = format!(
+        "*5\r\n$7\r\nOBJ.PUT\r\n$16\r\n7f3a9c21e0b4d655\r\n$16\r\n{id:016x}\r\n${}\r\n{fields}\r\n${length}\r\n",
+        fields.len()
+    );
+    [head.as_bytes(), &vec![b'x'; length], b"\r\n"].concat()
+}
+
+/// Writes a request evenly over a time.
+fn write_slowly(stream: &mut TcpStream, request: &[u8], over: Duration) {
+    let (begun, pieces) = (Instant::now(), request.chunks(16 * 1024).count() as u32);
+    for (number, piece) in (1..).zip(request.chunks(16 * 1024)) {
+        thread::sleep((over * number / pieces).saturating_sub(begun.elapsed()));
+        stream.write_all(piece).expect("the broker reads on");
+    }
+}
+
+/// Guards against a body that is no longer read once operators empty the broker, so that its request is answered seconds
+/// after its time.
+#[test]
+fn a_long_write_under_way_at_leave_is_read_to_its_end_and_served() {
+    let (_script, node) = resp_node();
+    let site = site("leave-under-write", &node);
+    let admin = site.admin.clone();
+    let operator = thread::spawn(move || {
+        thread::sleep(Duration::from_secs(1));
+        let mut caller = connect(&admin);
+        caller.write_all(b"LEAVE\n").expect("calls");
+        line(&mut caller).unwrap_or_default()
+    });
+    let mut client = connect(&site.broker.listen);
+    write_slowly(&mut client, &put(1, 1 << 20), Duration::from_millis(2_900));
+    let written = Instant::now();
+    assert_eq!(line(&mut client).expect("an answer"), "$5");
+    assert!(written.elapsed() < WAIT + LOST_AFTER, "{:?}", written.elapsed());
+    let _ = operator.join();
+    assert_eq!(exact(&mut client, 7).expect("a value"), b"value\r\n");
+    assert!(exact(&mut client, 1).is_err(), "the connection ends after the answer");
+    assert!(!site.broker.log().contains("rule broken"));
+}
+
+/// Guards against the same after SIGTERM, from the time on at which no further request is read.
+#[test]
+fn a_long_write_under_way_at_sigterm_is_read_to_its_end_and_served() {
+    let (_script, node) = resp_node();
+    let site = site("stop-under-write", &node);
+    let mut client = connect(&site.broker.listen);
+    let request = put(1, 1 << 20);
+    client.write_all(&request[..100_000]).expect("begins");
+    site.broker.signal("-TERM");
+    write_slowly(&mut client, &request[100_000..], Duration::from_millis(1_800));
+    assert_eq!(line(&mut client).expect("an answer"), "$5");
+}
+
+/// Guards against a request that begins after SIGTERM, whose body never ends, and that SIGKILL finds unanswered.
+#[test]
+fn a_long_write_that_begins_after_sigterm_is_answered_before_the_kill() {
+    let (_script, node) = resp_node();
+    let site = site("write-after-stop", &node);
+    let mut client = connect(&site.broker.listen);
+    let request = put(1, 4 << 20);
+    site.broker.signal("-TERM");
+    let told = Instant::now();
+    thread::sleep(Duration::from_millis(300));
+    let mut writer = client.try_clone().expect("a second handle");
+    thread::spawn(move || {
+        for piece in request.chunks(16 * 1024) {
+            if writer.write_all(piece).is_err() {
+                return;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+    });
+    let first = line(&mut client).expect("an answer before the kill");
+    assert!(first.starts_with('-') && told.elapsed() < LONGEST + KILL_AFTER, "{first} {:?}", told.elapsed());
+}
