Charge the memory of what connections hold, not the length of it

Callers saw: a broker killed for memory. Four clients, each with a read of 4 MiB and a small one behind it, took 64 MiB over the limit within 2 s where the node gave the values in pieces of 512 bytes.

Cause: bytes were charged and buffers were held. A link read into a new buffer of 16 KiB each time and handed a slice on, which kept all of it; so did the words of commands, short answers and blocks over NBD. Capacities, handles of short lines, bodies waiting for a slow node and a link's partial reply were in no account, and its parts left the process itself no room on 32 MiB.

Change: one scratch buffer for all reads, exact copies of what parsers keep, a queue that copies short pieces together and knows its memory, one reservation for all that a client connection holds, charged even beyond the budget. Works because every holder is charged the size of its allocations, so that nothing is granted beyond the memory. A quarter of the budget stays for new requests.

One unit test of the outbox compared the lengths of its slices, which are now one; it compares their bytes, which says more of what is written.

--- a/src/run/limits.rs
+++ b/src/run/limits.rs
@@ -5,7 +5,8 @@
 /// Descriptors reserved for the listeners, discovery (two connections while its address changes), the runtime, the log, signals
 /// and the connections that a full front refuses.
 const RESERVED: usize = 24 + MAX_REFUSED + MAX_WAITING;
-/// Memory per client connection, in KiB: its read buffer and its unread answers.
+/// Memory that the process must have for each client connection that it allows, in KiB: the connection itself, and its part
+/// of what all connections charge to the buffer budget.
 const CLIENT_KB: usize = 96;
 /// Memory per NBD client, in KiB: its requests, which hold up to 1 MiB each, and their replies.
 const NBD_CLIENT_KB: usize = 6 * 1024;
@@ -17,7 +18,7 @@
     pub clients: usize,
     /// Links to nodes.
     pub links: usize,
-    /// Bytes for open requests, incomplete replies and unread answers, in addition to the memory of each connection.
+    /// Bytes for open requests, incomplete replies and unread answers, in addition to the uncharged memory of each connection.
     pub room: usize,
     /// Bytes for the windows of streamed replies.
     pub windows: usize,
@@ -49,6 +50,24 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::wire::link;
+    use crate::wire::resp::server;
+
+    /// Memory of the process without connections and buffers, in KiB, and of the task and the tables of one connection.
+    const PROCESS_KB: usize = 9 * 1024;
+    const TASK_KB: usize = 4;
+
+    /// Guards against an account that promises more than the process may hold.
+    #[test]
+    fn everything_that_is_granted_at_once_fits_into_the_memory() {
+        for (files, mb) in [(256, 32), (1024, 32), (1024, 64), (1024, 192)] {
+            let (resp, _) = Limits::share(files, mb, false, 0);
+            let clients = resp.clients * (server::UNCHARGED / 1024 + TASK_KB);
+            let links = resp.links * (2 * link::UNCHARGED / 1024 + TASK_KB);
+            let kb = PROCESS_KB + clients + links + (resp.room + resp.windows) / 1024;
+            assert!(kb <= mb * 1024, "{kb} KiB of {mb} MiB: {resp:?}");
+        }
+    }
 
     #[test]
     fn connections_stay_within_descriptors_and_memory() {
--- a/src/state/buffer_budget.rs
+++ b/src/state/buffer_budget.rs
@@ -1,6 +1,8 @@
 //! A budget in bytes for the buffers of open requests and replies.
 //!
-//! A reservation either succeeds in full or fails without effect, and is released when it is dropped.
+//! A reservation either succeeds in full or fails without effect, and is released when it is dropped. Memory that is held
+//! already is charged whatever is left ([`Reservation::set`]), so that the budget tells what is held; nothing more is granted
+//! until enough of it is released.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -8,7 +10,9 @@
 /// Bytes left for the buffers of the clients of one front. Clones share the same budget.
 #[derive(Debug, Clone)]
 pub struct BufferBudget {
-    left: Rc<Cell<usize>>,
+    /// Negative while more is held than the budget has.
+    left: Rc<Cell<isize>>,
+    total: usize,
 }
 
 impl Default for BufferBudget {
@@ -21,19 +25,32 @@
 impl BufferBudget {
     /// Creates a budget of this many bytes.
     pub fn new(bytes: usize) -> Self {
-        BufferBudget { left: Rc::new(Cell::new(bytes)) }
+        BufferBudget { left: Rc::new(Cell::new(bytes as isize)), total: bytes }
     }
 
     /// Reserves bytes. Returns `false`, without effect, if fewer are left.
     pub fn reserve(&self, bytes: usize) -> bool {
-        let left = self.left.get().checked_sub(bytes);
-        self.left.set(left.unwrap_or(self.left.get()));
-        left.is_some()
+        let fits = self.left.get() >= bytes as isize;
+        if fits {
+            self.left.set(self.left.get() - bytes as isize);
+        }
+        fits
+    }
+
+    /// Whether at least half of the budget is left. Buffers that wait for a single client or node grow beyond their usual size
+    /// only then, so that they leave room for others.
+    pub fn is_ample(&self) -> bool {
+        self.left.get() >= (self.total / 2) as isize
+    }
+
+    /// Whether less than a quarter of the budget is left, which is kept for new requests and short answers.
+    pub fn is_low(&self) -> bool {
+        self.left.get() < (self.total / 4) as isize
     }
 
     /// Releases bytes that were reserved.
     pub fn release(&self, bytes: usize) {
-        self.left.set(self.left.get() + bytes);
+        self.left.set(self.left.get() + bytes as isize);
     }
 
     /// Returns a resizable reservation of zero bytes.
@@ -60,6 +77,13 @@
         true
     }
 
+    /// Sets the size of the reservation to what is held already, even if the budget is too small for it.
+    pub fn set(&mut self, bytes: usize) {
+        let left = self.budget.left.get() + self.bytes as isize;
+        self.budget.left.set(left - bytes as isize);
+        self.bytes = bytes;
+    }
+
     /// Returns the size of the reservation in bytes.
     pub fn bytes(&self) -> usize {
         self.bytes
@@ -88,4 +112,16 @@
         drop(reservation);
         assert!(!budget.reserve(7) && budget.reserve(6));
     }
+
+    /// Guards against memory that is held but not counted, and against grants while the budget is overdrawn.
+    #[test]
+    fn what_is_held_is_charged_even_beyond_the_budget() {
+        let budget = BufferBudget::new(10);
+        let mut reservation = budget.empty_reservation();
+        assert!(budget.is_ample() && !budget.is_low());
+        reservation.set(25);
+        assert!(!budget.reserve(1) && !reservation.resize(26) && budget.is_low());
+        reservation.set(6);
+        assert!(!budget.is_ample() && !budget.is_low() && !budget.reserve(5) && budget.reserve(4));
+    }
 }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -5,6 +5,7 @@
 pub mod activity;
 pub mod agreement;
 pub mod buffer_budget;
+pub mod byte_queue;
 pub mod client_slots;
 pub mod deadlines;
 pub mod guard;
--- a/src/state/pipe.rs
+++ b/src/state/pipe.rs
@@ -2,9 +2,9 @@
 //! out, so that neither holds the complete value.
 
 use super::buffer_budget::{BufferBudget, Reservation};
+use super::byte_queue::ByteQueue;
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
 use std::rc::Rc;
 use tokio::sync::Notify;
 
@@ -12,7 +12,7 @@
 pub const WINDOW: usize = 64 * 1024;
 /// Number of bytes that a pipe may always buffer, since they are part of a connection's fixed memory. Bytes beyond these
 /// are charged to the buffer budget.
-const UNCHARGED: usize = 8 * 1024;
+pub const UNCHARGED: usize = 8 * 1024;
 /// Number of bytes charged in advance of the buffered bytes.
 const CHARGED_AHEAD: usize = 64 * 1024;
 
@@ -30,8 +30,8 @@
 #[derive(Debug)]
 struct Inner {
     most: usize,
-    chunks: RefCell<VecDeque<Bytes>>,
-    buffered: Cell<usize>,
+    buffer: RefCell<ByteQueue>,
+    budget: BufferBudget,
     reservation: RefCell<Reservation>,
     progress: Cell<Progress>,
     /// Whether any bytes have been taken out.
@@ -53,8 +53,8 @@
 pub fn pipe(budget: &BufferBudget, most: usize) -> (PipeWriter, PipeReader) {
     let inner = Rc::new(Inner {
         most,
-        chunks: RefCell::default(),
-        buffered: Cell::new(0),
+        buffer: RefCell::default(),
+        budget: budget.clone(),
         reservation: RefCell::new(budget.empty_reservation()),
         progress: Cell::new(Progress::Ongoing),
         consumed: Cell::new(false),
@@ -66,22 +66,34 @@
 }
 
 impl PipeWriter {
-    /// Returns how many bytes may be put in now. Charges the buffered bytes and up to [`CHARGED_AHEAD`] more to the buffer
-    /// budget; if the budget is exhausted, the pipe buffers no more than is already charged.
+    /// Returns how many bytes may be put in now. Charges the memory of the buffer and up to [`CHARGED_AHEAD`] more to the
+    /// buffer budget; while the budget is low, the pipe buffers no more than is already charged. It buffers more than
+    /// [`WINDOW`] only while the budget is ample.
     pub fn space(&self) -> usize {
-        let buffered = self.0.buffered.get();
-        let wanted = (buffered + CHARGED_AHEAD).min(self.0.most);
+        let (buffered, memory) = self.0.measure();
+        let most = if self.0.budget.is_ample() { self.0.most } else { self.0.most.min(WINDOW) };
+        let ahead = (buffered + CHARGED_AHEAD).min(most).saturating_sub(buffered);
         let mut reservation = self.0.reservation.borrow_mut();
-        let charged = reservation.resize(wanted.saturating_sub(UNCHARGED));
-        let window = if charged { wanted } else { reservation.bytes() + UNCHARGED };
-        window.saturating_sub(buffered)
+        let wanted = (memory + ahead).saturating_sub(UNCHARGED);
+        let grows = wanted > reservation.bytes();
+        match !(grows && self.0.budget.is_low()) && reservation.resize(wanted) {
+            true => ahead,
+            false => (reservation.bytes() + UNCHARGED).saturating_sub(memory).min(ahead),
+        }
+    }
+
+    /// Appends a chunk to the buffer. A long one must be all that its allocation holds.
+    pub fn put(&self, chunk: Bytes) {
+        if !chunk.is_empty() {
+            self.0.buffer.borrow_mut().push(chunk);
+            self.0.bytes_put.notify_one();
+        }
     }
 
-    /// Appends bytes to the buffer.
-    pub fn put(&self, bytes: Bytes) {
+    /// Appends a copy of bytes to the buffer.
+    pub fn put_copy(&self, bytes: &[u8]) {
         if !bytes.is_empty() {
-            self.0.buffered.set(self.0.buffered.get() + bytes.len());
-            self.0.chunks.borrow_mut().push_back(bytes);
+            self.0.buffer.borrow_mut().extend(bytes);
             self.0.bytes_put.notify_one();
         }
     }
@@ -103,6 +115,14 @@
     }
 }
 
+impl Inner {
+    /// Returns the number of buffered bytes, and the memory that they keep allocated.
+    fn measure(&self) -> (usize, usize) {
+        let buffer = self.buffer.borrow();
+        (buffer.len(), buffer.memory())
+    }
+}
+
 impl Drop for PipeWriter {
     fn drop(&mut self) {
         if self.0.progress.get() == Progress::Ongoing {
@@ -115,11 +135,10 @@
 impl PipeReader {
     /// Takes the next bytes out of the buffer, or returns `None` if the buffer is empty.
     pub fn take(&self) -> Option<Bytes> {
-        let chunk = self.0.chunks.borrow_mut().pop_front()?;
-        let buffered = self.0.buffered.get() - chunk.len();
-        self.0.buffered.set(buffered);
+        let chunk = self.0.buffer.borrow_mut().pop()?;
+        let (_, memory) = self.0.measure();
         let mut reservation = self.0.reservation.borrow_mut();
-        let less = reservation.bytes().min(buffered);
+        let less = reservation.bytes().min(memory);
         reservation.resize(less);
         self.0.consumed.set(true);
         self.0.bytes_taken.notify_one();
@@ -129,11 +148,21 @@
     /// Returns the state of the transfer. It becomes [`Progress::Complete`] only after the buffer has been emptied.
     pub fn progress(&self) -> Progress {
         match self.0.progress.get() {
-            Progress::Complete if self.0.buffered.get() > 0 => Progress::Ongoing,
+            Progress::Complete if !self.0.buffer.borrow().is_empty() => Progress::Ongoing,
             progress => progress,
         }
     }
 
+    /// Returns how many bytes the reader may hold beside the pipe, so that it can write many at once: fewer while the budget is
+    /// low.
+    pub fn read_ahead(&self) -> usize {
+        if self.0.budget.is_low() {
+            UNCHARGED
+        } else {
+            WINDOW
+        }
+    }
+
     /// Returns whether any bytes have been taken out, so that the value cannot be read again from its start.
     pub fn is_consumed(&self) -> bool {
         self.0.consumed.get()
@@ -157,8 +186,8 @@
     fn drop(&mut self) {
         self.0.readers.set(self.0.readers.get() - 1);
         if self.0.readers.get() == 0 {
-            self.0.chunks.borrow_mut().clear();
-            self.0.buffered.set(0);
+            self.0.buffer.replace(ByteQueue::default());
+            self.0.reservation.borrow_mut().set(0);
             self.0.bytes_taken.notify_one();
         }
     }
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -1,6 +1,7 @@
 //! A link to a node: the driver of one connection, generic over the protocol spoken on it.
 
 use super::outbox::Outbox;
+use super::read_buffer::{ReadBuffer, Received};
 use crate::interface::{Ending, Time};
 use crate::state::buffer_budget::{BufferBudget, Reservation};
 use crate::state::guard::{Denied, Guard};
@@ -20,8 +21,9 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 
-/// Buffer space reserved for each read, in bytes. Most replies fit into it.
-const READ_SIZE: usize = 16 * 1024;
+/// Memory of a link for received and for waiting bytes, each, that is not charged to the buffer budget, in bytes. Most replies
+/// and requests fit into it.
+pub const UNCHARGED: usize = 8 * 1024;
 
 /// A peer violated the protocol. The text is meant for the log.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -320,14 +322,16 @@
     /// Reads and writes until the connection ends, and returns the reason. Returns `None` if the planner closes the
     /// link.
     async fn serve_connection(&mut self, stream: TcpStream) -> Option<String> {
+        let (received, waiting_bytes) = (self.budget.empty_reservation(), self.budget.empty_reservation());
         let mut partial =
-            PartialReply { bytes: BytesMut::new(), part: self.budget.empty_reservation(), reported: None };
+            PartialReply { bytes: ReadBuffer::default(), received, waiting: waiting_bytes, reported: None };
         // Whether the other tasks have run since the socket became writable, so that an attempt may begin.
         let mut caught_up = false;
         loop {
             if let Err(e) = self.exchange.fill() {
                 return Some(e.to_string());
             }
+            partial.waiting.set(self.exchange.outbox().memory().saturating_sub(UNCHARGED));
             let waiting = !self.exchange.outbox().is_empty() || self.can_begin();
             let listens = self.exchange.wants_read(partial.bytes.len());
             let wakeup = self.exchange.wakeup();
@@ -338,9 +342,8 @@
                     if let Err(e) = ready {
                         return Some(e.to_string());
                     }
-                    partial.bytes.reserve(READ_SIZE);
-                    match stream.try_read_buf(&mut partial.bytes) {
-                        Ok(0) => return Some("closed by the node".to_string()),
+                    match partial.bytes.read(&stream) {
+                        Ok(Received { bytes: 0, .. }) => return Some("closed by the node".to_string()),
                         Ok(_) => {}
                         Err(e) if is_short_of_memory(&e) => {
                             tokio::time::sleep(RETRY_DELAY).await;
@@ -413,7 +416,7 @@
     fn receive(&mut self, partial: &mut PartialReply) -> Result<(), String> {
         let mut ended = Vec::new();
         loop {
-            let result = self.exchange.receive(&mut partial.bytes, &mut ended);
+            let result = self.exchange.receive(partial.bytes.bytes_mut(), &mut ended);
             for (tag, end) in ended.drain(..) {
                 let _ = self.planner.send(Input::AttemptEnded(self.id, tag, end));
             }
@@ -439,11 +442,8 @@
             partial.reported = timeout.map(|timeout| (timeout, now));
             let _ = self.planner.send(Input::PartialReply(self.id, timeout));
         }
-        if partial.bytes.is_empty() {
-            // Releases the buffer, so that an idle link does not hold the memory of its last reply.
-            partial.bytes = BytesMut::new();
-        }
-        if !partial.part.resize(partial.bytes.len().saturating_sub(READ_SIZE)) {
+        partial.bytes.shrink();
+        if !partial.received.resize(partial.bytes.memory().saturating_sub(UNCHARGED)) {
             tracing::warn!(address = self.address, "no buffer budget left for a reply");
             return Err("no buffer budget left for a reply".to_string());
         }
@@ -453,8 +453,11 @@
 
 /// The bytes of an incomplete reply.
 struct PartialReply {
-    bytes: BytesMut,
-    part: Reservation,
+    bytes: ReadBuffer,
+    /// Budget reserved for the received bytes.
+    received: Reservation,
+    /// Budget charged for the bytes that wait to be written to the node.
+    waiting: Reservation,
     /// The read timeout last reported to the planner, and when it was reported.
     reported: Option<(Time, Time)>,
 }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -9,6 +9,7 @@
 pub mod nbd;
 pub mod outbox;
 pub mod raft;
+pub mod read_buffer;
 pub mod resp;
 pub mod session;
 pub mod sock_diag;
--- a/src/wire/nbd.rs
+++ b/src/wire/nbd.rs
@@ -17,9 +17,10 @@
 pub mod teller;
 
 use super::link::ProtocolError;
+use super::read_buffer::take_copy;
 use crate::state::integrity::State;
 use crate::state::planner::Wire;
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 use server::Export;
 use std::fmt;
 use std::rc::Rc;
@@ -271,8 +272,8 @@
     if read.len() < head + length {
         return None;
     }
-    let frame = read.split_to(head + length).freeze();
-    Some(frame.slice(head..))
+    read.advance(head);
+    Some(take_copy(read, length))
 }
 
 /// Head of an option: its number and the length of its data.
--- a/src/wire/outbox.rs
+++ b/src/wire/outbox.rs
@@ -1,8 +1,8 @@
 //! The queue of bytes that wait to be written to a connection. It counts the bytes written, because a request may have
 //! run only if its last byte was written.
 
-use bytes::{Buf, Bytes};
-use std::collections::VecDeque;
+use crate::state::byte_queue::ByteQueue;
+use bytes::Bytes;
 use std::io::IoSlice;
 
 /// Most chunks passed to one vectored write.
@@ -11,19 +11,22 @@
 /// Chunks in order, with counters of all bytes ever queued and ever written.
 #[derive(Debug, Default)]
 pub struct Outbox {
-    chunks: VecDeque<Bytes>,
+    bytes: ByteQueue,
     queued: u64,
     written: u64,
 }
 
 impl Outbox {
-    /// Appends a chunk.
+    /// Appends a chunk. A long one must be all that its allocation holds, or static.
     pub fn push(&mut self, chunk: impl Into<Bytes>) {
         let chunk = chunk.into();
-        if !chunk.is_empty() {
-            self.queued += chunk.len() as u64;
-            self.chunks.push_back(chunk);
-        }
+        self.queued += chunk.len() as u64;
+        self.bytes.push(chunk);
+    }
+
+    /// Returns the memory that the waiting bytes keep allocated, in bytes.
+    pub fn memory(&self) -> usize {
+        self.bytes.memory()
     }
 
     /// Returns the position behind the last byte queued. Everything queued so far has been written once
@@ -42,18 +45,17 @@
         self.written > start
     }
 
-    /// Removes the chunks queued from the position `start` on. None of their bytes may have been written.
+    /// Removes the bytes queued from the position `start` on. None of them may have been written.
     pub fn truncate(&mut self, start: u64) {
         debug_assert!(!self.has_begun(start));
-        while self.queued > start.max(self.written) {
-            let Some(last) = self.chunks.pop_back() else { return };
-            self.queued -= last.len() as u64;
-        }
+        let kept = start.max(self.written).min(self.queued);
+        self.bytes.truncate((self.queued - kept) as usize);
+        self.queued = kept;
     }
 
     /// Whether no bytes wait to be written.
     pub fn is_empty(&self) -> bool {
-        self.chunks.is_empty()
+        self.bytes.is_empty()
     }
 
     /// Returns the number of bytes that wait to be written.
@@ -63,20 +65,13 @@
 
     /// Returns the first chunks, for one vectored write.
     pub fn slices(&self) -> Vec<IoSlice<'_>> {
-        self.chunks.iter().take(MAX_SLICES).map(|c| IoSlice::new(c)).collect()
+        self.bytes.slices(MAX_SLICES)
     }
 
     /// Removes `bytes` bytes from the front after they have been written.
-    pub fn wrote(&mut self, mut bytes: usize) {
+    pub fn wrote(&mut self, bytes: usize) {
         self.written += bytes as u64;
-        while let Some(first) = self.chunks.front_mut() {
-            if first.len() > bytes {
-                first.advance(bytes);
-                return;
-            }
-            bytes -= first.len();
-            self.chunks.pop_front();
-        }
+        self.bytes.advance(bytes);
     }
 }
 
@@ -94,7 +89,7 @@
         outbox.push(&b"next"[..]);
         outbox.wrote(7);
         assert!(!outbox.is_written(first) && outbox.len() == 5);
-        assert_eq!(outbox.slices().iter().map(|s| s.len()).collect::<Vec<_>>(), [1, 4]);
+        assert_eq!(outbox.slices().iter().flat_map(|s| s.to_vec()).collect::<Vec<u8>>(), b"ynext");
         outbox.wrote(1);
         assert!(outbox.is_written(first) && !outbox.is_empty());
         outbox.push(&b"last"[..]);
--- a/src/wire/resp.rs
+++ b/src/wire/resp.rs
@@ -6,6 +6,7 @@
 
 use super::link::ProtocolError;
 use super::outbox::Outbox;
+use super::read_buffer::take_copy;
 use crate::interface::Time;
 use crate::state::pipe::PipeReader;
 use crate::state::planner::Wire;
@@ -32,7 +33,7 @@
 /// Nesting depth of arrays.
 const MAX_DEPTH: u8 = 2;
 
-/// A protocol value. Texts are slices of the buffer into which they were read.
+/// A protocol value. Texts are slices of a copy of the message, so that they do not keep the read buffer allocated.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Value {
     /// A simple string: one line of text.
@@ -175,8 +176,8 @@
         Ok(ParsedValue::Array(Some(words.collect::<ModalResult<_>>()?)))
     };
     let (words, value) = (words, long).parse_next(&mut input).ok()?;
-    let frame = read.split_to(input.current_token_start()).freeze();
-    Some((words.into_value(&frame), value))
+    let end = input.current_token_start();
+    Some((words.into_value(&take_copy(read, end)), value))
 }
 
 fn take_complete(
@@ -188,8 +189,7 @@
     match parser(&mut input) {
         Ok(placed) => {
             let end = input.current_token_start();
-            let frame = read.split_to(end).freeze();
-            Ok(Some(placed.into_value(&frame)))
+            Ok(Some(placed.into_value(&take_copy(read, end))))
         }
         Err(ErrMode::Incomplete(_)) if read.len() <= most + MAX_OVERHEAD => Ok(None),
         Err(ErrMode::Incomplete(_)) => Err(ProtocolError("message exceeds the length limit")),
--- a/src/wire/resp/client.rs
+++ b/src/wire/resp/client.rs
@@ -3,11 +3,12 @@
 use super::*;
 use crate::interface::Ending;
 use crate::state::buffer_budget::BufferBudget;
-use crate::state::pipe::{pipe, PipeWriter, Progress, WINDOW};
+use crate::state::pipe::{pipe, PipeWriter, Progress};
 use crate::state::planner::{AttemptEnd, AttemptId};
 use crate::wire::link::{
     either, ending_after_loss, Ended, Exchange, ReplyProgress, Wakeup, REPLY_STALL_TIMEOUT, UNSOLICITED_REPLY,
 };
+use bytes::Buf;
 use std::collections::VecDeque;
 
 /// How long a streamed reply may make no progress while its client keeps reading, in microseconds.
@@ -92,7 +93,8 @@
             return Err(ProtocolError("the client no longer reads the reply"));
         }
         let n = streamed.left.min(read.len()).min(streamed.writer.space());
-        streamed.writer.put(read.split_to(n).freeze());
+        streamed.writer.put_copy(&read[..n]);
+        read.advance(n);
         streamed.left -= n;
         if streamed.left > 0 || decode_rest(streamed.items, read)?.is_none() {
             return Ok(false);
@@ -172,7 +174,7 @@
 
     fn fill(&mut self) -> Result<(), ProtocolError> {
         while let Some(reader) = &self.sending {
-            if self.outbox.len() >= WINDOW as u64 {
+            if self.outbox.len() >= reader.read_ahead() as u64 {
                 return Ok(());
             }
             match (reader.take(), reader.progress()) {
@@ -208,7 +210,7 @@
         let put = self
             .sending
             .as_ref()
-            .filter(|_| self.outbox.len() < WINDOW as u64)
+            .filter(|reader| self.outbox.len() < reader.read_ahead() as u64)
             .map(PipeReader::wait_for_bytes);
         let taken = self.streamed.as_ref().map(|p| p.writer.wait_for_space());
         either(put, taken)
--- a/src/wire/resp/server.rs
+++ b/src/wire/resp/server.rs
@@ -3,12 +3,14 @@
 use super::*;
 use crate::interface::{Arrival, Class, RequestId};
 use crate::state::buffer_budget::{BufferBudget, Reservation};
+use crate::state::byte_queue::ByteQueue;
 use crate::state::phase::Phase;
-use crate::state::pipe::{pipe, PipeWriter, Progress, WINDOW};
+use crate::state::pipe::{self, PipeWriter, Progress, WINDOW};
 use crate::state::planner::Answer;
 use crate::state::stable_index::Indexed;
 use crate::wire::link::{either, Wakeup};
 use crate::wire::session::{RequestIds, Session};
+use bytes::Buf;
 use std::cell::RefCell;
 use std::collections::{BTreeSet, VecDeque};
 use std::rc::Rc;
@@ -23,6 +25,12 @@
 /// Memory charged for a request in addition to its body, in bytes: its arguments and its state in the planner and the
 /// scheduler.
 const REQUEST_BYTES: usize = 2 * 1024;
+/// Memory of a connection's buffers that is not charged to the buffer budget, in bytes.
+pub const UNCHARGED: usize = 16 * 1024;
+/// Memory charged for a value that waits to be written, in addition to its bytes.
+const VALUE_OVERHEAD: usize = 256;
+/// Entries for which an empty queue of answers keeps its memory.
+const KEPT_SLOTS: usize = 16;
 /// Longest request id, in bytes.
 const MAX_ID_LENGTH: usize = 64;
 /// Number of hexadecimal digits in the name of a piece of data or of a volume.
@@ -97,8 +105,8 @@
     _class: Rc<Indexed<ClassSchema>>,
     number: RequestId,
     id: Box<[u8]>,
-    /// Bytes charged for the body.
-    body: usize,
+    /// Bytes charged for the command's words, the body among them.
+    held: usize,
 }
 
 /// The result of parsing one command.
@@ -112,37 +120,61 @@
 /// An entry in the queue of answers, which is kept in the order of the commands.
 enum Slot {
     Unanswered(Unanswered),
-    Ready(Vec<Bytes>),
-    /// A value that is streamed to the client while it arrives from the node.
-    Streamed(PipeReader),
+    /// An answer that needs no node.
+    Line(&'static [u8]),
+    /// A refusal, with the advised delay before the retry in microseconds.
+    RefusedFor(Time),
+    /// A value that was received completely.
+    Value(Bytes),
+    /// A value that is streamed to the client while it arrives from the node, and its length until its header is written.
+    Streamed(PipeReader, Option<usize>),
     /// A value that is collected completely before it is written, because other answers are queued behind it: if a streamed
     /// value broke off, the connection would have to be closed and those answers would be lost.
-    Buffering(Buffering),
+    Buffering(Box<Buffering>),
+}
+
+impl Slot {
+    /// Returns the memory of the answer that is or will be collected here, in bytes.
+    fn memory(&self) -> usize {
+        match self {
+            Slot::Value(value) => value.len() + VALUE_OVERHEAD,
+            Slot::Buffering(buffering) => Buffering::memory(buffering.length),
+            Slot::Unanswered(_) | Slot::Line(_) | Slot::RefusedFor(_) | Slot::Streamed(..) => 0,
+        }
+    }
 }
 
 /// A long value that is being collected.
 struct Buffering {
     reader: PipeReader,
     length: usize,
-    parts: Vec<Bytes>,
+    collected: ByteQueue,
 }
 
 impl Buffering {
-    /// Collects the bytes that have arrived. Returns the answer once the value is complete or has broken off.
-    fn poll_complete(&mut self) -> Option<Vec<Bytes>> {
+    /// Returns the memory of a value of this length when it is collected, in bytes.
+    fn memory(length: usize) -> usize {
+        length + length / 16 + VALUE_OVERHEAD
+    }
+
+    /// Collects the bytes that have arrived, and writes the answer once the value is complete or has broken off. Returns
+    /// whether it was written.
+    fn write_complete(&mut self, outbox: &mut Outbox) -> bool {
         while let Some(bytes) = self.reader.take() {
-            self.parts.push(bytes);
+            self.collected.push(bytes);
         }
         match self.reader.progress() {
-            Progress::Ongoing => None,
-            Progress::Broken => Some(vec![Bytes::from_static(FAILED)]),
+            Progress::Ongoing => return false,
+            Progress::Broken => outbox.push(FAILED),
             Progress::Complete => {
-                let mut answer = vec![value_head(self.length)];
-                answer.append(&mut self.parts);
-                answer.push(Bytes::from_static(b"\r\n"));
-                Some(answer)
+                outbox.push(value_head(self.length));
+                while let Some(chunk) = self.collected.pop() {
+                    outbox.push(chunk);
+                }
+                outbox.push(LINE_END);
             }
         }
+        true
     }
 }
 
@@ -153,6 +185,8 @@
 
 /// The answer to a request that was not sent to any node: the client may safely retry it.
 const BUSY: &[u8] = b"-BUSY\r\n";
+/// The end of a line or a value.
+const LINE_END: &[u8] = b"\r\n";
 /// The answer to a request that failed.
 const FAILED: &[u8] = b"-ERR failed\r\n";
 
@@ -170,11 +204,14 @@
 pub struct Client {
     shared: Rc<SharedState>,
     slots: VecDeque<Slot>,
+    /// Bytes charged for the words of open requests.
     held: usize,
-    /// Budget reserved for values that are not written yet.
-    values: Reservation,
-    /// Budget reserved for data that was read but not parsed.
-    unparsed: Reservation,
+    /// Memory of the answers in `slots`, in bytes.
+    values: usize,
+    /// Memory of the read buffer, in bytes.
+    read_memory: usize,
+    /// Budget charged for all memory of the connection but open requests and [`UNCHARGED`].
+    memory: Reservation,
     outbox: Outbox,
     upload: Option<Upload>,
     /// Requests whose streamed bodies have arrived completely, and when their clients give up.
@@ -191,13 +228,14 @@
 impl Client {
     /// Creates the session of a client that has just connected.
     pub fn new(shared: Rc<SharedState>) -> Self {
-        let (values, unparsed) = (shared.budget.empty_reservation(), shared.budget.empty_reservation());
+        let memory = shared.budget.empty_reservation();
         Client {
             shared,
             slots: VecDeque::new(),
             held: 0,
-            values,
-            unparsed,
+            values: 0,
+            read_memory: 0,
+            memory,
             outbox: Outbox::default(),
             upload: None,
             complete_uploads: VecDeque::new(),
@@ -244,17 +282,14 @@
         if words.len() != 4 + usize::from(put && long.is_none()) {
             return Err(b"-ERR wrong number of arguments\r\n");
         }
+        let length: usize = words.iter().map(Bytes::len).sum();
         let mut words = words.into_iter().skip(1);
         let mut next = || words.next().unwrap_or_default();
         let (piece, id, list) = (next(), next(), next());
-        // A streamed body is charged with the size of its window.
+        // The pipe of a streamed body charges what it buffers beyond its uncharged part.
         let (body, held) = match long {
-            Some((reader, length)) => (Some(Body::Streamed(reader, length)), WINDOW),
-            None => {
-                let body = put.then(next);
-                let held = body.as_ref().map_or(0, Bytes::len);
-                (body.map(Body::Buffered), held)
-            }
+            Some((reader, body)) => (Some(Body::Streamed(reader, body)), length + pipe::UNCHARGED),
+            None => (put.then(next).map(Body::Buffered), length),
         };
         if !is_hex(&piece) {
             return Err(b"-ERR malformed piece\r\n");
@@ -265,7 +300,7 @@
         let (mut arrival, deadline, class) = self.arrival(now, &list, put)?;
         arrival.key = Some(String::from_utf8_lossy(&piece).into_owned());
         // The id is copied, so that the set of open ids does not keep the read buffer allocated.
-        let owed = Unanswered { _class: class, number: arrival.id, id: id.as_ref().into(), body: held };
+        let owed = Unanswered { _class: class, number: arrival.id, id: id.as_ref().into(), held };
         if self.shared.open.borrow().contains(&owed.id) {
             return Err(b"-ERR id of a request that is open\r\n");
         }
@@ -338,8 +373,7 @@
         length: usize,
         requests: &mut Vec<(Arrival, Command)>,
     ) {
-        // The window has a budget of its own here: `request` charges its size to the shared budget.
-        let (writer, reader) = pipe(&BufferBudget::new(WINDOW), WINDOW);
+        let (writer, reader) = pipe::pipe(&self.shared.budget, WINDOW);
         let words: Vec<Bytes> = match words {
             Value::Array(Some(items)) => items
                 .into_iter()
@@ -369,11 +403,12 @@
             upload.writer = None;
         }
         let space = upload.writer.as_ref().map_or(usize::MAX, PipeWriter::space);
-        let part = read.split_to(upload.left.min(read.len()).min(space)).freeze();
-        upload.left -= part.len();
+        let count = upload.left.min(read.len()).min(space);
         if let Some(writer) = &upload.writer {
-            writer.put(part);
+            writer.put_copy(&read[..count]);
         }
+        read.advance(count);
+        upload.left -= count;
         if upload.left > 0 || read.len() < 2 {
             return false;
         }
@@ -394,7 +429,7 @@
     fn push_parsed(&mut self, parsed: Result<Parsed, ErrorLine>) {
         match parsed {
             Ok(Parsed::Request(owed)) => {
-                self.held += owed.body;
+                self.held += owed.held;
                 self.slots.push_back(Slot::Unanswered(owed));
             }
             Ok(Parsed::Quit) => {
@@ -413,47 +448,82 @@
     fn flush(&mut self) {
         loop {
             match self.slots.front_mut() {
-                Some(Slot::Ready(parts)) => parts.drain(..).for_each(|part| self.outbox.push(part)),
-                Some(Slot::Streamed(reader)) => {
+                Some(Slot::Line(line)) => self.outbox.push(*line),
+                Some(Slot::RefusedFor(after)) => {
+                    let millis = (*after + 999) / 1000;
+                    self.outbox.push(format!("-BUSY {millis}\r\n"));
+                }
+                Some(Slot::Value(value)) => {
+                    self.outbox.push(value_head(value.len()));
+                    self.outbox.push(std::mem::take(value));
+                    self.outbox.push(LINE_END);
+                }
+                Some(Slot::Streamed(reader, head)) => {
+                    if let Some(length) = head.take() {
+                        self.outbox.push(value_head(length));
+                    }
                     while self.outbox.len() < MAX_STREAMED_AHEAD {
                         let Some(bytes) = reader.take() else { break };
                         self.outbox.push(bytes);
                     }
                     match reader.progress() {
-                        Progress::Ongoing => return,
-                        Progress::Complete => self.outbox.push(&b"\r\n"[..]),
+                        Progress::Ongoing => break,
+                        Progress::Complete => self.outbox.push(LINE_END),
                         Progress::Broken => {
                             (self.broken, self.ending) = (true, true);
-                            return;
+                            break;
                         }
                     }
                 }
-                Some(Slot::Buffering(buffering)) => match buffering.poll_complete() {
-                    Some(parts) => parts.into_iter().for_each(|part| self.outbox.push(part)),
-                    None => return,
-                },
-                Some(Slot::Unanswered(_)) | None => return,
+                Some(Slot::Buffering(buffering)) => {
+                    if !buffering.write_complete(&mut self.outbox) {
+                        break;
+                    }
+                }
+                Some(Slot::Unanswered(_)) | None => break,
             }
             self.slots.pop_front();
         }
+        if self.slots.is_empty() && self.slots.capacity() > KEPT_SLOTS {
+            self.slots = VecDeque::new();
+        }
+        self.values = self.slots.iter().map(Slot::memory).sum();
+        self.charge();
+    }
+
+    /// Returns the memory of the connection that is charged to the budget, in bytes.
+    fn charged_memory(&self) -> usize {
+        let slots = self.slots.capacity() * std::mem::size_of::<Slot>();
+        (self.values + slots + self.outbox.memory() + self.read_memory).saturating_sub(UNCHARGED)
+    }
+
+    /// Charges what the connection holds.
+    fn charge(&mut self) {
+        self.memory.set(self.charged_memory());
+    }
+
+    /// Reserves memory for an answer that waits. Returns false if the budget does not allow it.
+    fn reserve_answer(&mut self, bytes: usize) -> bool {
+        self.values += bytes;
+        let granted = self.memory.resize(self.charged_memory());
+        if !granted {
+            self.values -= bytes;
+        }
+        granted
     }
 
     fn push_answer(&mut self, line: &'static [u8]) {
-        self.slots.push_back(Slot::Ready(vec![Bytes::from_static(line)]));
+        self.slots.push_back(Slot::Line(line));
     }
 
     /// Releases the budget and the id of a request that is no longer open.
     fn release(&mut self, owed: &Unanswered) {
-        self.held -= owed.body;
-        self.shared.budget.release(REQUEST_BYTES + owed.body);
+        self.held -= owed.held;
+        self.shared.budget.release(REQUEST_BYTES + owed.held);
         self.shared.open.borrow_mut().remove(&owed.id);
     }
 }
 
-fn size(parts: &[Bytes]) -> usize {
-    parts.iter().map(Bytes::len).sum()
-}
-
 /// Whether a text is a valid name of a piece or a volume: sixteen hexadecimal digits.
 fn is_hex(text: &[u8]) -> bool {
     text.len() == HEX_DIGITS && text.iter().all(u8::is_ascii_hexdigit)
@@ -507,37 +577,25 @@
         let owed = |slot: &Slot| matches!(slot, Slot::Unanswered(owed) if owed.number == number);
         let Some(place) = self.slots.iter().position(owed) else { return self.flush() };
         let stands_alone = place + 1 == self.slots.len();
-        let mut long = None;
-        let parts = match answer {
+        let slot = match answer {
             Answer::Served(Reply::Streamed(reader, length))
-                if !stands_alone && self.values.resize(self.values.bytes() + length) =>
+                if !stands_alone && self.reserve_answer(Buffering::memory(length)) =>
             {
-                long = Some(Slot::Buffering(Buffering { reader, length, parts: Vec::new() }));
-                Vec::new()
+                Slot::Buffering(Box::new(Buffering { reader, length, collected: ByteQueue::default() }))
             }
-            Answer::Served(Reply::Streamed(reader, length)) => {
-                long = Some(Slot::Streamed(reader));
-                vec![value_head(length)]
+            Answer::Served(Reply::Streamed(reader, length)) => Slot::Streamed(reader, Some(length)),
+            Answer::Served(Reply::Buffered(value)) if self.reserve_answer(value.len() + VALUE_OVERHEAD) => {
+                Slot::Value(value)
             }
             // The client has more unread answers than the budget allows.
-            Answer::Served(Reply::Buffered(value))
-                if !self.values.resize(self.values.bytes() + value.len()) =>
-            {
-                vec![Bytes::from_static(FAILED)]
-            }
-            Answer::Served(Reply::Buffered(value)) => {
-                vec![value_head(value.len()), value, Bytes::from_static(b"\r\n")]
-            }
-            Answer::Refused(after) if after > 0 => vec![format!("-BUSY {}\r\n", (after + 999) / 1000).into()],
-            Answer::Refused(_) => vec![Bytes::from_static(BUSY)],
-            Answer::Failed => vec![Bytes::from_static(FAILED)],
+            Answer::Served(Reply::Buffered(_)) => Slot::Line(FAILED),
+            Answer::Refused(after) if after > 0 => Slot::RefusedFor(after),
+            Answer::Refused(_) => Slot::Line(BUSY),
+            Answer::Failed => Slot::Line(FAILED),
         };
-        if let Slot::Unanswered(owed) = std::mem::replace(&mut self.slots[place], Slot::Ready(parts)) {
+        if let Slot::Unanswered(owed) = std::mem::replace(&mut self.slots[place], slot) {
             self.release(&owed);
         }
-        if let Some(long) = long {
-            self.slots.insert(place + 1, long);
-        }
         self.flush();
     }
 
@@ -547,15 +605,7 @@
 
     fn wrote(&mut self, bytes: usize) {
         self.outbox.wrote(bytes);
-        // Answers that wait behind an unanswered request keep their reservation until all is written.
-        if self.outbox.is_empty() {
-            let ready = |slot: &Slot| match slot {
-                Slot::Ready(parts) => size(parts),
-                Slot::Buffering(buffering) => buffering.length,
-                Slot::Unanswered(_) | Slot::Streamed(_) => 0,
-            };
-            self.values.resize(self.slots.iter().map(ready).sum::<usize>().min(self.values.bytes()));
-        }
+        self.charge();
     }
 
     fn unanswered(&self) -> Vec<RequestId> {
@@ -569,7 +619,7 @@
 
     fn wakeup(&self) -> Option<Wakeup> {
         let put = match self.slots.front() {
-            Some(Slot::Streamed(reader)) if self.outbox.len() < MAX_STREAMED_AHEAD => {
+            Some(Slot::Streamed(reader, _)) if self.outbox.len() < MAX_STREAMED_AHEAD => {
                 Some(reader.wait_for_bytes())
             }
             Some(Slot::Buffering(buffering)) => Some(buffering.reader.wait_for_bytes()),
@@ -580,7 +630,7 @@
     }
 
     fn is_streaming(&self) -> bool {
-        self.slots.iter().any(|slot| matches!(slot, Slot::Streamed(_) | Slot::Buffering(_)))
+        self.slots.iter().any(|slot| matches!(slot, Slot::Streamed(..) | Slot::Buffering(_)))
     }
 
     fn is_stream_broken(&self) -> bool {
@@ -591,8 +641,14 @@
         self.complete_uploads.pop_front()
     }
 
-    fn charge_unparsed(&mut self, unparsed: usize) -> bool {
-        self.unparsed.resize(unparsed)
+    fn charge_read(&mut self, memory: usize) -> bool {
+        self.read_memory = memory;
+        self.charge();
+        memory < UNCHARGED || self.shared.budget.is_ample()
+    }
+
+    fn may_read_far_ahead(&self) -> bool {
+        self.shared.budget.is_ample()
     }
 
     fn is_full(&self) -> bool {
@@ -600,7 +656,7 @@
             return upload.writer.as_ref().is_some_and(|g| !g.is_abandoned() && g.space() == 0);
         }
         // No request is accepted behind a streamed value: if the value broke off, the request could not be answered any more.
-        let passes = self.slots.iter().any(|slot| matches!(slot, Slot::Streamed(_)));
+        let passes = self.slots.iter().any(|slot| matches!(slot, Slot::Streamed(..)));
         passes || self.slots.len() >= MAX_SLOTS || self.held >= MAX_HELD
     }
 
--- a/src/wire/session.rs
+++ b/src/wire/session.rs
@@ -3,6 +3,7 @@
 
 use super::link::{wait_for, Wakeup};
 use super::outbox::Outbox;
+use super::read_buffer::{ReadBuffer, Received};
 use crate::interface::Time;
 use crate::interface::{Arrival, RequestId};
 use crate::state::activity::Activity;
@@ -21,8 +22,6 @@
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
 use tokio::sync::watch;
 
-/// Buffer space reserved for one read, in bytes.
-const READ_CHUNK: usize = 8 * 1024;
 /// Bytes that are read ahead while no further request of a client is accepted: the end of the connection may follow them.
 const READ_AHEAD: usize = 16 * 1024;
 /// Bytes that are read ahead if the buffer budget allows it.
@@ -93,8 +92,12 @@
     }
     /// Returns the requests that have no answer yet.
     fn unanswered(&self) -> Vec<RequestId>;
-    /// Charges bytes that were read but not parsed to the buffer budget. Returns false if the budget does not allow it.
-    fn charge_unparsed(&mut self, _unparsed: usize) -> bool {
+    /// Charges the memory of the read buffer to the buffer budget. Returns whether the budget allows another read.
+    fn charge_read(&mut self, _memory: usize) -> bool {
+        true
+    }
+    /// Whether the budget allows more than [`READ_AHEAD`] bytes to be read ahead.
+    fn may_read_far_ahead(&self) -> bool {
         false
     }
     /// Whether the limit of unanswered requests is reached, so that no further request is accepted for now.
@@ -174,7 +177,7 @@
     let SessionContext { planner, guard, loop_clock, mut phase } = context;
     let phase_of_requests = phase.clone();
     let (back, mut answers) = unbounded_channel();
-    let mut read = BytesMut::new();
+    let mut read = ReadBuffer::default();
     let mut activity = Activity::new(loop_clock.now());
     // Whether data was read ahead while no request was accepted.
     let mut has_unparsed = false;
@@ -244,8 +247,8 @@
             let reads = current_phase.reads_idle_connections(now);
             if reads && unread(&stream) == Unread::Bytes && !session.is_ending() {
                 tokio::task::yield_now().await;
-                match stream.try_read_buf(&mut read) {
-                    Ok(1..) => {
+                match read.read(&stream) {
+                    Ok(Received { bytes: 1.., .. }) => {
                         has_unparsed |=
                             dispatcher.take(&stream, &mut session, &mut activity, &mut read, scope);
                         continue;
@@ -274,13 +277,10 @@
         let wakeup = session.wakeup();
         // The socket is read ahead so that a client that has closed is noticed even while its requests are unanswered. It is not
         // read any more once new requests would not be answered.
-        let ahead = if has_unparsed { read.len() } else { 0 };
-        let within_budget = session.charge_unparsed(
-            ahead.saturating_sub(READ_AHEAD) + if ahead < READ_AHEAD { 0 } else { READ_CHUNK },
-        );
-        let reads_ahead = !session.is_streaming()
-            && (read.len() < READ_AHEAD || (within_budget && read.len() < MAX_READ_AHEAD));
-        let reads = accepts || (may_read && reads_ahead);
+        let within_budget = session.charge_read(read.memory());
+        let far_ahead = session.may_read_far_ahead() && read.len() < MAX_READ_AHEAD;
+        let reads_ahead = !session.is_streaming() && (read.len() < READ_AHEAD || far_ahead);
+        let reads = within_budget && (accepts || (may_read && reads_ahead));
         if !reads {
             not_read_since = not_read_since.or(Some(now));
         } else if let Some(since) = not_read_since.take().filter(|_| unread(&stream) == Unread::Bytes) {
@@ -313,9 +313,8 @@
                 }
             }
             ready = stream.readable(), if reads => {
-                read.reserve(READ_CHUNK);
-                match ready.and_then(|()| stream.try_read_buf(&mut read)) {
-                    Ok(0) => break CloseReason::ClientGone,
+                match ready.and_then(|()| read.read(&stream)) {
+                    Ok(Received { bytes: 0, .. }) => break CloseReason::ClientGone,
                     Ok(_) => {}
                     Err(e) if is_short_of_memory(&e) => {
                         tokio::time::sleep(RETRY_DELAY).await;
@@ -501,7 +500,7 @@
         stream: &TcpStream,
         session: &mut S,
         activity: &mut Activity,
-        read: &mut BytesMut,
+        read: &mut ReadBuffer,
         scope: ReadScope,
     ) -> bool {
         let (before, mut requests) = (read.len(), Vec::new());
@@ -509,8 +508,8 @@
         let waiting_since = self.waiting_since.get();
         let arrived = waiting_since.map_or(came, |since| since.min(came));
         match scope {
-            ReadScope::Commands => session.receive(arrived, read, &mut requests),
-            ReadScope::Body => session.receive_body(arrived, read),
+            ReadScope::Commands => session.receive(arrived, read.bytes_mut(), &mut requests),
+            ReadScope::Body => session.receive_body(arrived, read.bytes_mut()),
         }
         let waited_us = self.loop_clock.now() - arrived;
         if waited_us > LOGGED_WAIT && !requests.is_empty() {
@@ -527,10 +526,7 @@
         };
         self.waiting_since.set(waiting_since.filter(|_| rests(waiting_since)));
         activity.read(self.loop_clock.now(), before, read.len(), requests.len());
-        if read.is_empty() {
-            // An idle client must not keep the buffer of its last command allocated.
-            *read = BytesMut::new();
-        }
+        read.shrink();
         for (mut arrival, request) in requests {
             arrival.due = self.due(arrival.due, arrived);
             // The deadline of a request whose body is still arriving is not known yet.
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -72,12 +72,27 @@
         nbd: Option<&str>,
         files: u32,
         variables: &[(&str, &str)],
+    ) -> Self {
+        Self::start_process(name, &configuration(settings, discovery), discovery, nbd, files, variables)
+    }
+
+    /// The same with this configuration, which names its limits.
+    pub fn start_configured(name: &str, configuration: &str, discovery: &str, files: u32) -> Self {
+        Self::start_process(name, configuration, discovery, None, files, &[])
+    }
+
+    fn start_process(
+        name: &str,
+        configuration: &str,
+        discovery: &str,
+        nbd: Option<&str>,
+        files: u32,
+        variables: &[(&str, &str)],
     ) -> Self {
         let folder = std::env::temp_dir().join(format!("claywinch-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
         let (listen, nbd_listen) = (free_address(), free_address());
-        std::fs::write(folder.join("config.json"), configuration(settings, discovery))
-            .expect("a configuration");
+        std::fs::write(folder.join("config.json"), configuration).expect("a configuration");
         let nbd_file = folder.join("nbd.toml");
         if let Some(text) = nbd {
             std::fs::write(&nbd_file, format!("listen = \"{nbd_listen}\"\n{text}")).expect("a file");
