Let the time of a long write run while the broker leaves its body unread

Callers saw: writes of 1 to 4 MiB for a node that hangs answered 10 s after their last byte instead of 1.2 s; an error 10 s after a client stopped in a body; a write of over 10 s failed though its bytes still came.

Cause: the time of such a request began with the reading of its last byte. With the window of 64 KiB full the broker left that byte in its socket, and a bound of 10 s was all that was left; and where the body was read before its request was sent, sending set that bound in place of the deadline.

Change: bodies are buffered further while half of the budget is left; where a body is not read, its time runs from when the socket was last seen empty (BodyClock); a pause of 2.5 s ends it, no bound on the whole; a deadline set by the end of a body holds for later attempts. Works because every body has either bytes that come, or a time that runs. Agenda entries of a request now go with it: they stood until their time.

Unit tests, ending, daily, crossings, memory, module, parsers, planner, sockets and work pass.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -136,6 +136,10 @@
     rechecked: bool,
     /// Whether part of the body has been discarded, so that the request cannot be sent again.
     body_discarded: bool,
+    /// Time of its [`AgendaEntry::Deadline`].
+    check_at: Option<Time>,
+    /// Time of its [`AgendaEntry::Requeue`].
+    requeue_at: Option<Time>,
 }
 
 /// An entry of the agenda.
@@ -254,6 +258,7 @@
                 Event::ClientGone(id) => self.finish(now, id, acts),
                 Event::BodyProgress(id, due, spent) => {
                     let _ = self.requests.entry(id).and_modify(|r| (r.due, r.body_discarded) = (due, spent));
+                    self.check_no_later(id, due - ANSWER_MARGIN);
                 }
                 Event::LimitShare(part) => {
                     self.refill_limits(now);
@@ -292,10 +297,36 @@
             self.requests.iter().filter(|(_, request)| request.due > at).map(|(id, _)| *id).collect();
         for id in late {
             self.requests.entry(id).and_modify(|request| request.due = at);
-            self.agenda.insert((at - ANSWER_MARGIN, AgendaEntry::Deadline(id)));
+            self.check_no_later(id, at - ANSWER_MARGIN);
         }
     }
 
+    /// Schedules the next check of a request's deadline, in place of the one that was scheduled before.
+    fn check_at(&mut self, id: RequestId, at: Time) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        if let Some(before) = request.check_at.replace(at) {
+            self.agenda.remove(&(before, AgendaEntry::Deadline(id)));
+        }
+        self.agenda.insert((at, AgendaEntry::Deadline(id)));
+    }
+
+    /// Schedules a check of a request's deadline unless one is scheduled that comes earlier.
+    fn check_no_later(&mut self, id: RequestId, at: Time) {
+        let before = self.requests.get(&id).and_then(|request| request.check_at);
+        if before.is_none_or(|before| before > at) {
+            self.check_at(id, at);
+        }
+    }
+
+    /// Queues a request again at a later time.
+    fn requeue_at(&mut self, id: RequestId, at: Time) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        if let Some(before) = request.requeue_at.replace(at) {
+            self.agenda.remove(&(before, AgendaEntry::Requeue(id)));
+        }
+        self.agenda.insert((at, AgendaEntry::Requeue(id)));
+    }
+
     /// Refills the limit buckets of all volumes up to `now`; required before their refill rate changes.
     fn refill_limits(&mut self, now: Time) {
         for v in self.volumes.values_mut() {
@@ -338,9 +369,13 @@
             let Some((_, entry)) = self.agenda.pop_first() else { return };
             self.inspections += 1;
             match entry {
-                AgendaEntry::Deadline(id) => self.check_deadline(now, id, acts),
+                AgendaEntry::Deadline(id) => {
+                    let _ = self.requests.entry(id).and_modify(|request| request.check_at = None);
+                    self.check_deadline(now, id, acts);
+                }
                 AgendaEntry::Key(key) => self.advance_key(now, &key),
                 AgendaEntry::Requeue(id) => {
+                    let _ = self.requests.entry(id).and_modify(|request| request.requeue_at = None);
                     self.stop_holding(id);
                     self.enqueue(id);
                 }
@@ -439,8 +474,8 @@
         }
         let ordered_key = request.key.clone().filter(|_| self.settings.classes[a.class].ordered);
         let check_at = now + (left as f64 * RECHECK_FROM) as Time;
-        self.agenda.insert((check_at.min(a.due - ANSWER_MARGIN).max(now), AgendaEntry::Deadline(a.id)));
         self.requests.insert(a.id, request);
+        self.check_at(a.id, check_at.min(a.due - ANSWER_MARGIN).max(now));
         match ordered_key {
             Some(key) => {
                 self.key_queues.entry(key.clone()).or_default().ids.push_back(a.id);
@@ -781,7 +816,7 @@
             request.held = true;
         }
         self.dequeue(id);
-        self.agenda.insert((now + wait, AgendaEntry::Requeue(id)));
+        self.requeue_at(id, now + wait);
         false
     }
 
@@ -922,7 +957,7 @@
                 match self.may_retry(now, &self.requests[&o.id], o.node) {
                     // An immediate retry would find no connection either.
                     true if o.ending == Ending::NoLink => {
-                        self.agenda.insert((now + RESEND_DELAY, AgendaEntry::Requeue(o.id)));
+                        self.requeue_at(o.id, now + RESEND_DELAY);
                     }
                     true => self.enqueue(o.id),
                     false => self.give_up(now, o.id, Reason::NotRepeatable, acts),
@@ -943,9 +978,10 @@
             self.requests.entry(id).and_modify(|r| r.rechecked = true);
             // The more requests are open, the less often each is checked.
             let interval = RECHECK_INTERVAL * (1 + (self.requests.len() / MAX_ENTRIES_PER_TURN) as Time);
-            self.agenda.insert((last.min(now + interval), AgendaEntry::Deadline(id)));
+            self.check_at(id, last.min(now + interval));
         } else if request.in_flight > 0 && now < request.due {
-            self.agenda.insert((request.due, AgendaEntry::Deadline(id)));
+            let due = request.due;
+            self.check_at(id, due);
         } else {
             self.give_up(now, id, Reason::OutOfTime, acts);
         }
@@ -1007,6 +1043,9 @@
         self.dequeue(id);
         self.stop_holding(id);
         let Some(request) = self.requests.remove(&id) else { return };
+        // What a request has scheduled goes with it: requests may come and go faster than their deadlines.
+        let _ = request.check_at.map(|at| self.agenda.remove(&(at, AgendaEntry::Deadline(id))));
+        let _ = request.requeue_at.map(|at| self.agenda.remove(&(at, AgendaEntry::Requeue(id))));
         if request.in_flight > 0 && self.settings.cancel {
             acts.extend((0..request.attempts).map(|attempt| Action::Cancel(id, attempt)));
         }
--- a/src/run/limits.rs
+++ b/src/run/limits.rs
@@ -55,7 +55,7 @@
 
     /// Memory of the process without connections and buffers, in KiB, and of the task and the tables of one connection.
     const PROCESS_KB: usize = 9 * 1024;
-    const TASK_KB: usize = 4;
+    const TASK_KB: usize = 6;
 
     /// Guards against an account that promises more than the process may hold.
     #[test]
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -4,6 +4,7 @@
 pub mod accept_queue;
 pub mod activity;
 pub mod agreement;
+pub mod body_clock;
 pub mod buffer_budget;
 pub mod byte_queue;
 pub mod client_slots;
--- a/src/state/planner/messages.rs
+++ b/src/state/planner/messages.rs
@@ -1,6 +1,7 @@
 //! What the planner is told and what it tells its caller, and the protocol that it is generic over.
 
 use crate::interface::{Arrival, Ending, ListKind, NodeEntry, NodeId, RequestId, Settings, Time};
+use crate::state::body_clock::BodyEnd;
 use crate::state::pool::{LinkId, LinkSettings, Sharing};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
@@ -136,6 +137,8 @@
     ReplyFinished(LinkId),
     /// The whole body of this request has arrived. Holds the time at which its client gives up.
     BodyComplete(RequestId, Time),
+    /// This request must have its answer now, although its body is not complete.
+    BodyEnded(RequestId, BodyEnd),
     /// The connection of a link is up.
     LinkUp(LinkId),
     /// Bytes have arrived on this link. If they end within an incomplete reply, holds the timeout for the next bytes;
--- a/src/state/planner/mod.rs
+++ b/src/state/planner/mod.rs
@@ -10,6 +10,7 @@
     ListedNode, RequestFilter, Wire,
 };
 
+use super::body_clock::BodyEnd;
 use super::deadlines::{Deadlines, Lateness};
 use super::guard::{Guard, Repeats};
 use super::pool::{LinkId, Pick, Pool, PoolLimits, SUPERSEDED_LINKS};
@@ -38,9 +39,9 @@
 /// the clients whose answers are queued behind this reply, must see its end before their requests count as lost.
 const LATE_REPLY_PAUSE: Time = 300_000;
 
-/// Longest time in which a streamed request body may arrive, in microseconds. The request's own deadline counts from
-/// the last byte of the body.
-const BODY_TIMEOUT: Time = 10_000_000;
+/// The deadline of a request whose body is still arriving: the session ends it, see
+/// [`BodyClock`](super::body_clock::BodyClock). Its own deadline counts from the last byte of the body.
+const UNTIL_BODY_ENDS: Time = Time::MAX / 2;
 
 /// A request that has no final answer yet.
 struct OpenRequest<W: Wire> {
@@ -51,6 +52,8 @@
     last: Option<Ending>,
     /// Whether the request may not be sent any more; see [`Input::Revoke`].
     revoked: bool,
+    /// Whether its body is still arriving, so that its deadline is not known yet.
+    awaits_body: bool,
     shard: Option<ShardId>,
 }
 
@@ -260,6 +263,7 @@
                     return;
                 }
                 let open = OpenRequest {
+                    awaits_body: W::streams_body(&ask.request),
                     request: ask.request,
                     back: ask.back,
                     tries: 0,
@@ -303,6 +307,7 @@
                 }
             }
             Input::BodyComplete(id, due) => self.set_due(now, id, due, true),
+            Input::BodyEnded(id, end) => self.end_body(now, id, end, effects),
             Input::LinkUp(link) => self.pool.note_up(link),
             Input::PartialReply(link, timeout) => {
                 let until = timeout.map(|timeout| self.next_part_due(now, link, timeout));
@@ -579,7 +584,7 @@
             tracing::debug!(id, attempt = attempt_id.1, node, ?after, "retry");
         }
         self.counts.sent += 1;
-        let (request, revoked) = (open.request.clone(), open.revoked);
+        let (request, revoked, awaits_body) = (open.request.clone(), open.revoked, open.awaits_body);
         let channel = W::channel(&request);
         let mut attempt = Attempt { node, link: None, sent: now, until };
         if revoked {
@@ -614,17 +619,31 @@
         self.attempts.insert(attempt_id, attempt);
         self.attempts_on_link.entry(link).or_default().insert(attempt_id);
         self.deadlines.insert(until, Deadline::Attempt(attempt_id));
-        let streams_body = W::streams_body(&request);
         effects.push(Effect::Send(link, attempt_id, times, request));
-        if streams_body {
-            self.set_due(now, id, until.max(now + BODY_TIMEOUT), false);
+        if awaits_body {
+            self.set_due(now, id, UNTIL_BODY_ENDS, false);
+        }
+    }
+
+    /// Ends the attempts of a request whose body is not complete, so that it gets its answer now. Its node is to blame only if
+    /// it did not take the body in time.
+    fn end_body(&mut self, now: Time, id: RequestId, end: BodyEnd, effects: &mut Vec<Effect<W>>) {
+        self.set_due(now, id, now, true);
+        let ending = match end {
+            BodyEnd::OutOfTime => Ending::TimedOut,
+            BodyEnd::Stalled => Ending::Cancelled,
+        };
+        let attempts = self.attempts.range((id, 0)..=(id, u32::MAX)).map(|(attempt_id, _)| *attempt_id);
+        for attempt_id in attempts.collect::<Vec<AttemptId>>() {
+            self.give_up_attempt(now, attempt_id, ending, effects);
         }
     }
 
     /// Sets a new deadline for a request with a streamed body and for its attempts. Once the body is `complete`, the
     /// waiting time for the node counts from now, since the node begins only after the last byte of the body.
     fn set_due(&mut self, now: Time, id: RequestId, due: Time, complete: bool) {
-        let Some(open) = self.requests.get(&id) else { return };
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        open.awaits_body &= !complete;
         let due = due.min(self.answer_by);
         self.events.push(Event::BodyProgress(id, due, W::is_body_consumed(&open.request)));
         for (attempt_id, attempt) in self.attempts.range_mut((id, 0)..=(id, u32::MAX)) {
--- a/src/wire/resp/server.rs
+++ b/src/wire/resp/server.rs
@@ -2,10 +2,11 @@
 
 use super::*;
 use crate::interface::{Arrival, Class, RequestId};
+use crate::state::body_clock::IncompleteBody;
 use crate::state::buffer_budget::{BufferBudget, Reservation};
 use crate::state::byte_queue::ByteQueue;
 use crate::state::phase::Phase;
-use crate::state::pipe::{self, PipeWriter, Progress, WINDOW};
+use crate::state::pipe::{self, PipeWriter, Progress};
 use crate::state::planner::Answer;
 use crate::state::stable_index::Indexed;
 use crate::wire::link::{either, Wakeup};
@@ -373,7 +374,7 @@
         length: usize,
         requests: &mut Vec<(Arrival, Command)>,
     ) {
-        let (writer, reader) = pipe::pipe(&self.shared.budget, WINDOW);
+        let (writer, reader) = pipe::pipe(&self.shared.budget, length);
         let words: Vec<Bytes> = match words {
             Value::Array(Some(items)) => items
                 .into_iter()
@@ -562,8 +563,20 @@
         self.flush();
     }
 
-    fn receives_body(&self) -> bool {
-        self.upload.is_some()
+    fn incomplete_body(&self) -> Option<IncompleteBody> {
+        let upload = self.upload.as_ref()?;
+        let awaited = upload.writer.as_ref().is_some_and(|writer| !writer.is_abandoned());
+        let wait = upload.request.filter(|_| awaited).map(|(_, wait)| wait);
+        Some(IncompleteBody { left: upload.left + LINE_END.len(), wait })
+    }
+
+    fn expire_body(&mut self) -> Option<RequestId> {
+        self.upload.as_mut()?.request.take().map(|(id, _)| id)
+    }
+
+    fn end_unfinished_body(&mut self) {
+        self.upload = None;
+        self.ending = true;
     }
 
     fn receive_body(&mut self, now: Time, read: &mut BytesMut) {
--- a/src/wire/session.rs
+++ b/src/wire/session.rs
@@ -7,6 +7,7 @@
 use crate::interface::Time;
 use crate::interface::{Arrival, RequestId};
 use crate::state::activity::Activity;
+use crate::state::body_clock::{BodyClock, BodyEnd, IncompleteBody};
 use crate::state::client_slots::ClientSlot;
 use crate::state::guard::{CloseReason, Guard};
 use crate::state::phase::Phase;
@@ -57,10 +58,16 @@
 pub trait Session<W: Wire>: 'static {
     /// Parses and consumes the complete commands in `read`, and appends their requests. `now` is when the bytes arrived.
     fn receive(&mut self, now: Time, read: &mut BytesMut, requests: &mut Vec<(Arrival, W::Request)>);
-    /// Whether the rest of a request's body is still being received.
-    fn receives_body(&self) -> bool {
-        false
+    /// Returns the body that is still being received, or `None` if there is none.
+    fn incomplete_body(&self) -> Option<IncompleteBody> {
+        None
+    }
+    /// Returns the request whose body is still being received and whose client gets no further time, once.
+    fn expire_body(&mut self) -> Option<RequestId> {
+        None
     }
+    /// Ends the session because the rest of a body does not come. The request keeps its place until it has its answer.
+    fn end_unfinished_body(&mut self) {}
     /// Consumes received bytes up to the end of the body that is being received, and no command behind it.
     fn receive_body(&mut self, _now: Time, _read: &mut BytesMut) {}
     /// Accepts the final answer to a request.
@@ -179,6 +186,7 @@
     let (back, mut answers) = unbounded_channel();
     let mut read = ReadBuffer::default();
     let mut activity = Activity::new(loop_clock.now());
+    let mut body_clock = BodyClock::new(loop_clock.now());
     // Whether data was read ahead while no request was accepted.
     let mut has_unparsed = false;
     // Since when the socket has not been read.
@@ -203,11 +211,20 @@
             break CloseReason::BrokenValue;
         }
         let answered = session.unanswered().is_empty() && !waiting && !session.is_streaming();
-        let receives_body = session.receives_body();
+        let now = dispatcher.loop_clock.now();
+        if let Some(body) = session.incomplete_body().filter(|body| body_clock.examine_at(*body) <= now) {
+            let is_held = !read.is_empty() || unread(&stream) == Unread::Bytes;
+            match body_clock.end(now, body, is_held) {
+                Some(end) => dispatcher.end_body(&mut session, now, end),
+                None if !is_held => body_clock.empty(),
+                None => {}
+            }
+        }
+        let incomplete_body = session.incomplete_body();
+        let receives_body = incomplete_body.is_some();
         let idle = answered && !receives_body;
         let evictable = answered && session.is_evictable();
         slot.set_evictable(evictable.then(|| activity.spare()));
-        let now = dispatcher.loop_clock.now();
         let deadline = activity.deadline(now, evictable, waiting);
         let is_over = |at: Option<Time>| at.is_some_and(|at| at <= now);
         let over = is_over(deadline);
@@ -272,8 +289,6 @@
                 };
             }
         }
-        let wakes = [deadline, closes, ends, stops_reading, batch].into_iter().flatten();
-        slot.set_deadline(wakes.filter(|at| *at > now).min());
         let wakeup = session.wakeup();
         // The socket is read ahead so that a client that has closed is noticed even while its requests are unanswered. It is not
         // read any more once new requests would not be answered.
@@ -281,6 +296,12 @@
         let far_ahead = session.may_read_far_ahead() && read.len() < MAX_READ_AHEAD;
         let reads_ahead = !session.is_streaming() && (read.len() < READ_AHEAD || far_ahead);
         let reads = within_budget && (accepts || (may_read && reads_ahead));
+        if !reads || incomplete_body.is_some_and(|body| read.len() >= body.left) {
+            body_clock.not_read(now);
+        }
+        let body_examined = incomplete_body.map(|body| body_clock.examine_at(body));
+        let wakes = [deadline, closes, ends, stops_reading, batch, body_examined].into_iter().flatten();
+        slot.set_deadline(wakes.filter(|at| *at > now).min());
         if !reads {
             not_read_since = not_read_since.or(Some(now));
         } else if let Some(since) = not_read_since.take().filter(|_| unread(&stream) == Unread::Bytes) {
@@ -315,7 +336,7 @@
             ready = stream.readable(), if reads => {
                 match ready.and_then(|()| read.read(&stream)) {
                     Ok(Received { bytes: 0, .. }) => break CloseReason::ClientGone,
-                    Ok(_) => {}
+                    Ok(Received { drained, .. }) => body_clock.read(dispatcher.loop_clock.now(), drained),
                     Err(e) if is_short_of_memory(&e) => {
                         tokio::time::sleep(RETRY_DELAY).await;
                         continue;
@@ -541,7 +562,19 @@
             self.guard.retime(id, due);
             let _ = self.planner.send(Input::BodyComplete(id, due));
         }
-        scope == ReadScope::Body && !session.receives_body() && !read.is_empty()
+        scope == ReadScope::Body && session.incomplete_body().is_none() && !read.is_empty()
+    }
+
+    /// Ends a request whose body is not complete: its client gets an answer, and no further time.
+    fn end_body<S: Session<W>>(&self, session: &mut S, now: Time, end: BodyEnd) {
+        if let Some(id) = session.expire_body() {
+            tracing::debug!(id, ?end, "body not complete");
+            self.guard.retime(id, now);
+            let _ = self.planner.send(Input::BodyEnded(id, end));
+        }
+        if end == BodyEnd::Stalled {
+            session.end_unfinished_body();
+        }
     }
 
     /// Returns the deadline of a request that arrived at `arrived` and whose client waits until `due`: a broker that stops
--- a/tests/long_values.rs
+++ b/tests/long_values.rs
@@ -137,3 +137,82 @@
     let first = line(&mut client).expect("an answer before the kill");
     assert!(first.starts_with('-') && told.elapsed() < LONGEST + KILL_AFTER, "{first} {:?}", told.elapsed());
 }
+
+/// A node that takes connections and reads so many bytes each time, with a pause between; none at all without a pause. Its
+/// sockets hold little, as between machines.
+fn slow_reading_node(pause: Option<Duration>) -> String {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(32 * 1024).expect("a small buffer");
+    socket.bind(&std::net::SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+    socket.listen(64).expect("listens");
+    let listener = std::net::TcpListener::from(socket);
+    let address = listener.local_addr().expect("an address").to_string();
+    thread::spawn(move || {
+        let mut kept = Vec::new();
+        for mut stream in listener.incoming().flatten() {
+            match pause {
+                None => kept.push(stream),
+                Some(pause) => drop(thread::spawn(move || {
+                    while exact(&mut stream, 8 * 1024).is_ok() {
+                        thread::sleep(pause);
+                    }
+                })),
+            }
+        }
+    });
+    address
+}
+
+/// Writes a request at once, and returns the first line of the answer and how long after the last byte it came.
+fn ask_at_once(address: &str, request: &[u8]) -> (String, Duration) {
+    let mut client = connect(address);
+    let mut reader = client.try_clone().expect("a second handle");
+    let answer = thread::spawn(move || (line(&mut reader).expect("an answer"), Instant::now()));
+    client.write_all(request).expect("the broker takes all of it, also what it discards");
+    let written = Instant::now();
+    let (line, came) = answer.join().expect("an answer");
+    (line, came.saturating_duration_since(written))
+}
+
+/// Guards against long writes without an end where their node takes no more of them: the broker leaves their bytes unread.
+#[test]
+fn a_long_write_for_a_node_that_does_not_read_is_answered_in_time() {
+    for (name, pause) in [("hangs", None), ("reads-slowly", Some(Duration::from_millis(80)))] {
+        let site = site(&format!("write-{name}"), &slow_reading_node(pause));
+        let clients: Vec<_> = [1, 2, 4]
+            .map(|mib| {
+                let address = site.broker.listen.clone();
+                thread::spawn(move || ask_at_once(&address, &put(mib, mib << 20)))
+            })
+            .into_iter()
+            .collect();
+        for client in clients {
+            let (line, after) = client.join().expect("an answer");
+            assert!(line.starts_with('-') && after < WAIT + LOST_AFTER, "{name}: {line} after {after:?}");
+        }
+        assert!(!site.broker.log().contains("rule broken"), "{}", site.broker.log());
+    }
+}
+
+/// Guards against a write that is cut off while its bytes still come.
+#[test]
+fn a_write_that_takes_long_is_served_as_long_as_its_bytes_come() {
+    let (_script, node) = resp_node();
+    let site = site("long-write", &node);
+    let mut client = connect(&site.broker.listen);
+    write_slowly(&mut client, &put(1, 200_000), Duration::from_millis(11_500));
+    assert_eq!(line(&mut client).expect("an answer"), "$5");
+}
+
+/// Guards against a client that stops in the middle of a long body, and stays: it is owed an error within three seconds.
+#[test]
+fn a_client_that_stops_in_a_long_body_is_told_soon() {
+    let (_script, node) = resp_node();
+    let site = site("half-body", &node);
+    let mut client = connect(&site.broker.listen);
+    client.write_all(&put(1, 1 << 20)[..500_000]).expect("half of it");
+    let stopped = Instant::now();
+    assert!(line(&mut client).expect("an answer").starts_with('-'));
+    assert!(stopped.elapsed() < Duration::from_secs(3), "{:?}", stopped.elapsed());
+    assert!(exact(&mut client, 1).is_err(), "and the connection ends");
+}
