Bound the state that is kept for names that clients make up

Callers saw: a process that grows without end while one client sends requests under ever new names.

Cause: the scheduler kept each volume for a minute, without a bound; arrivals were counted one by one for the retry budget; each broken rule was a line of the log.

Change: the number of volumes is bounded by the memory (src/rules/volumes.rs). The one used least recently makes room; one whose limit is not full again, or with an open request under a limit, does not, so no limit is renewed by it. A request whose volume finds no room is refused. Arrivals are counted in slots, log lines doubled out. Works because all that a name costs now ends with the bound.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -12,6 +12,7 @@
 mod fleet;
 mod node;
 mod overload;
+mod volumes;
 mod waiting;
 
 use crate::interface::*;
@@ -20,6 +21,7 @@
 use overload::Overload;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use volumes::{Volume, Volumes};
 use waiting::{Rank, RankedQueue};
 
 /// Fraction of the tightest aim that the units in flight at a node may take to serve. The rest is left for
@@ -71,27 +73,13 @@
 const RESEND_DELAY: Time = 10_000;
 /// Delay until the next turn when one turn reached its maximum number of sends.
 const NEXT_TURN_DELAY: Time = 500;
+/// Advised delay for a request of a volume that finds no room among those that are kept, in microseconds.
+const NO_ROOM_DELAY: Time = 100_000;
+/// Number of entries that the arrivals within the window of the retry budget are counted in.
+const ARRIVAL_SLOTS: Time = 256;
 /// Margin, in units, on limit buckets and on the load of cold nodes, against rounding errors.
 const MARGIN: f64 = 0.01;
 
-/// State of a volume at this host.
-#[derive(Debug, Default)]
-struct Volume {
-    plan: usize,
-    hosts: u32,
-    limit: Bucket,
-    /// Units of the requests that wait for the limit.
-    held_units: f64,
-    reserve: Bucket,
-    share: Bucket,
-    /// Units served recently through this host.
-    own: f64,
-    /// Units that the answering nodes served recently through other hosts.
-    other: f64,
-    /// Rate of the units served through this host: `sum` holds the decaying total.
-    served: DecayingMean,
-}
-
 /// The open requests of an ordered key, in order of arrival.
 #[derive(Debug, Default)]
 struct KeyQueue {
@@ -185,15 +173,17 @@
     inspections: u64,
     /// Number of requests refused because this host was overloaded.
     shed: u64,
-    volumes: BTreeMap<String, Volume>,
+    volumes: Volumes,
     /// Open requests by ordered key.
     key_queues: BTreeMap<String, KeyQueue>,
     /// Work to do at later times.
     agenda: BTreeSet<(Time, AgendaEntry)>,
     /// Time for which the last timer was requested.
     armed: Option<Time>,
-    /// Arrival times within the window of the retry budget.
-    arrivals: VecDeque<Time>,
+    /// Arrivals within the window of the retry budget: when the first of a slot came, and their number.
+    arrivals: VecDeque<(Time, u64)>,
+    /// Number of `arrivals`.
+    recent_arrivals: u64,
     /// Send times of retries within the window of the retry budget.
     retries: VecDeque<Time>,
     forget_at: Time,
@@ -219,6 +209,11 @@
         Ok(Scheduler { forget_at, unit_time: initial, limit_share: 1.0, ..fresh })
     }
 
+    /// Limits the number of volumes that state is kept of.
+    pub fn set_volume_limit(&mut self, most: usize) {
+        self.volumes.set_limit(most);
+    }
+
     /// Returns the number of known nodes and volumes.
     pub fn known(&self) -> (usize, usize) {
         (self.fleet.len(), self.volumes.len())
@@ -339,11 +334,9 @@
     /// is kept, since a new bucket would be full.
     fn drop_stale(&mut self, now: Time) {
         self.refill_limits(now);
-        let open: BTreeSet<&String> = self.requests.values().map(|r| &r.volume).collect();
         let (plans, part) = (&self.settings.plans, self.limit_share);
-        self.volumes.retain(|name, v| {
-            let most = plans[v.plan].limit.map_or(0.0, |l| l.burst * part / f64::from(v.hosts));
-            now - v.reserve.at < RETENTION || open.contains(name) || v.limit.level < most - 2.0 * MARGIN
+        self.volumes.drop_unused(now - RETENTION + 1, |volume| {
+            volume.open == 0 && may_drop_volume(now, plans, part, volume)
         });
         let tried: BTreeSet<NodeId> =
             self.requests.values().filter_map(|r| r.may_have_run).map(|m| m.1).collect();
@@ -433,7 +426,7 @@
 
     /// Accepts a request, or refuses it if this host is overloaded.
     fn accept(&mut self, now: Time, a: Arrival, acts: &mut Vec<Action>) {
-        self.arrivals.push_back(now);
+        self.count_arrival(now);
         if a.class >= self.settings.classes.len()
             || a.plan >= self.settings.plans.len()
             || self.requests.contains_key(&a.id)
@@ -446,6 +439,12 @@
             acts.push(Action::Refuse(a.id, wait.clamp(0, self.settings.max_retry_after), Reason::HostLate));
             return;
         }
+        let (plans, part) = (&self.settings.plans, self.limit_share);
+        if !self.volumes.make_room(&a.volume, |volume| may_drop_volume(now, plans, part, volume)) {
+            let wait = NO_ROOM_DELAY.min(self.settings.max_retry_after);
+            acts.push(Action::Refuse(a.id, wait, Reason::OverLimit));
+            return;
+        }
         let class = &self.settings.classes[a.class];
         // A request may arrive from a backlog or as a client's retry. The longest time that requests of the
         // class have left on arrival shows when this one was first made. A request with less time than the
@@ -500,7 +499,7 @@
         let (reserve, share) = (plan.reserve * part, plan.weight * size / weights.max(1e-9) * part);
         let since = self.limits_since;
         let slack = plan.limit.filter(|_| since == self.started).map_or(0.0, |l| l.slack);
-        let volume = self.volumes.entry(a.volume.clone()).or_insert_with(|| Volume {
+        let volume = self.volumes.used(now, &a.volume, || Volume {
             plan: a.plan,
             hosts,
             limit: Bucket { level: slack / f64::from(hosts), at: since },
@@ -509,6 +508,7 @@
             ..Volume::default()
         });
         (volume.plan, volume.hosts) = (a.plan, volume.hosts.max(hosts));
+        volume.open += 1;
         let most = self.settings.max_units;
         let best = self.settings.classes.iter().map(|c| c.value).fold(1e-9, f64::max);
         let left = (1.0 - self.settings.classes[a.class].value / best) * RESERVE_HELD_BACK;
@@ -850,16 +850,32 @@
         }
     }
 
+    /// Counts an arrival for the retry budget.
+    fn count_arrival(&mut self, now: Time) {
+        let Some(span) = self.settings.budget.map(|budget| budget.span) else { return };
+        self.forget_arrivals(now, span);
+        self.recent_arrivals += 1;
+        match self.arrivals.back_mut() {
+            Some((first, count)) if now - *first < span / ARRIVAL_SLOTS => *count += 1,
+            _ => self.arrivals.push_back((now, 1)),
+        }
+    }
+
+    fn forget_arrivals(&mut self, now: Time, span: Time) {
+        while let Some((_, count)) = self.arrivals.front().filter(|(first, _)| *first <= now - span) {
+            self.recent_arrivals -= count;
+            self.arrivals.pop_front();
+        }
+    }
+
     /// Whether the retry budget allows one more retry.
     fn within_retry_budget(&mut self, now: Time) -> bool {
         let span = self.settings.budget.map_or(0, |b| b.span);
-        while self.arrivals.front().is_some_and(|t| *t <= now - span) {
-            self.arrivals.pop_front();
-        }
+        self.forget_arrivals(now, span);
         while self.retries.front().is_some_and(|t| *t < now - span) {
             self.retries.pop_front();
         }
-        let (retries, arrivals) = (self.retries.len() as f64, self.arrivals.len() as f64);
+        let (retries, arrivals) = (self.retries.len() as f64, self.recent_arrivals as f64);
         self.settings.budget.is_none_or(|b| retries + 1.0 <= b.free + b.share * arrivals)
     }
 
@@ -1046,6 +1062,9 @@
         // What a request has scheduled goes with it: requests may come and go faster than their deadlines.
         let _ = request.check_at.map(|at| self.agenda.remove(&(at, AgendaEntry::Deadline(id))));
         let _ = request.requeue_at.map(|at| self.agenda.remove(&(at, AgendaEntry::Requeue(id))));
+        if let Some(volume) = self.volumes.get_mut(&request.volume) {
+            volume.open = volume.open.saturating_sub(1);
+        }
         if request.in_flight > 0 && self.settings.cancel {
             acts.extend((0..request.attempts).map(|attempt| Action::Cancel(id, attempt)));
         }
@@ -1085,3 +1104,12 @@
         acts.push(Action::Log(format!("node {id} {state}, {} out", node.bookings.len())));
     }
 }
+
+/// Whether a volume may be dropped without a loss but of its statistics: a new one begins with a full limit
+/// bucket, so that of this one must be full, and none of its requests may still be charged to it.
+fn may_drop_volume(now: Time, plans: &[Plan], limit_share: f64, volume: &mut Volume) -> bool {
+    let Some(limit) = plans[volume.plan].limit else { return true };
+    let hosts = f64::from(volume.hosts) / limit_share;
+    let most = limit.burst / hosts - MARGIN;
+    volume.open == 0 && volume.limit.refill(now, limit.rate / hosts, most) >= most - MARGIN
+}
--- a/src/run/limits.rs
+++ b/src/run/limits.rs
@@ -8,6 +8,10 @@
 /// Memory that the process must have for each client connection that it allows, in KiB: the connection itself, and its part
 /// of what all connections charge to the buffer budget.
 const CLIENT_KB: usize = 96;
+/// Memory of a volume that the scheduler keeps state of, in bytes.
+const VOLUME_BYTES: usize = 512;
+/// Fraction of the memory that the volumes may take: one in so many.
+const VOLUMES_PART: usize = 32;
 /// Memory per NBD client, in KiB: its requests, which hold up to 1 MiB each, and their replies.
 const NBD_CLIENT_KB: usize = 6 * 1024;
 
@@ -22,6 +26,8 @@
     pub room: usize,
     /// Bytes for the windows of streamed replies.
     pub windows: usize,
+    /// Volumes that the scheduler keeps state of.
+    pub volumes: usize,
 }
 
 impl Limits {
@@ -40,6 +46,7 @@
                 links: free - clients,
                 room,
                 windows: room / 2,
+                volumes: memory_mb * 1024 * 1024 / VOLUMES_PART / VOLUME_BYTES,
             }
         };
         let (nbd_free, nbd_kb) = if nbd { (free / 4, kb / 2) } else { (0, 0) };
@@ -54,7 +61,7 @@
     use crate::wire::resp::server;
 
     /// Memory of the process without connections and buffers, in KiB, and of the task and the tables of one connection.
-    const PROCESS_KB: usize = 9 * 1024;
+    const PROCESS_KB: usize = 8 * 1024;
     const TASK_KB: usize = 6;
 
     /// Guards against an account that promises more than the process may hold.
@@ -64,7 +71,8 @@
             let (resp, _) = Limits::share(files, mb, false, 0);
             let clients = resp.clients * (server::UNCHARGED / 1024 + TASK_KB);
             let links = resp.links * (2 * link::UNCHARGED / 1024 + TASK_KB);
-            let kb = PROCESS_KB + clients + links + (resp.room + resp.windows) / 1024;
+            let volumes = resp.volumes * VOLUME_BYTES / 1024;
+            let kb = PROCESS_KB + clients + links + volumes + (resp.room + resp.windows) / 1024;
             assert!(kb <= mb * 1024, "{kb} KiB of {mb} MiB: {resp:?}");
         }
     }
--- a/src/run/nbd.rs
+++ b/src/run/nbd.rs
@@ -181,7 +181,8 @@
     let Start { deploy, path, place, bounds } = start;
     let address = deploy.listen.clone().unwrap_or_default();
     let pool = PoolLimits { links: place.limits.links, links_per_node: 16, terms: bounds.links() };
-    let planner = Planner::<Nbd>::new(deploy.settings(), place.seed, place.clock.now(), pool)?;
+    let mut planner = Planner::<Nbd>::new(deploy.settings(), place.seed, place.clock.now(), pool)?;
+    planner.set_volume_limit(place.limits.volumes);
     let request_guard = planner.guard().clone();
     let (own, inputs) = unbounded_channel();
     let exports = Exports::default();
--- a/src/run/start.rs
+++ b/src/run/start.rs
@@ -103,7 +103,8 @@
     let settings = active.settings().ok_or(unusable("it has no classes".to_string()))?;
     let zones = Rc::new(RefCell::new(active.zones()));
     let cold = settings.warmup_time + settings.cold_window;
-    let planner = Planner::<Resp>::new(settings, config.seed, clock.now(), pool)?;
+    let mut planner = Planner::<Resp>::new(settings, config.seed, clock.now(), pool)?;
+    planner.set_volume_limit(limits.volumes);
     let guard = planner.guard().clone();
     let (own, inputs) = unbounded_channel();
     let mut numbers = NodeNumbers::default();
--- a/src/state/guard.rs
+++ b/src/state/guard.rs
@@ -23,6 +23,9 @@
 /// By how much the deadline sent to a node may exceed the client's own, in microseconds.
 const DEADLINE_SLACK: Time = 150_000;
 
+/// Violations of a kind that are logged one by one; of further ones only each that doubles their number is.
+const LOGGED_VIOLATIONS: u64 = 1_000;
+
 /// The kinds of broken rules.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Violation {
@@ -160,8 +163,11 @@
 
 impl Ledger {
     fn violate(&mut self, violation: Violation, id: RequestId, by: Time) {
-        self.violations.0[violation as usize] += 1;
-        tracing::error!(id, ?violation, by_us = by, "rule broken");
+        let count = &mut self.violations.0[violation as usize];
+        *count += 1;
+        if *count <= LOGGED_VIOLATIONS || count.is_power_of_two() {
+            tracing::error!(id, ?violation, by_us = by, count = *count, "rule broken");
+        }
     }
 
     fn insert(&mut self, id: RequestId, due: Time, of_client: bool) {
--- a/src/state/planner/mod.rs
+++ b/src/state/planner/mod.rs
@@ -140,6 +140,11 @@
         })
     }
 
+    /// Limits the number of volumes that the scheduler keeps state of.
+    pub fn set_volume_limit(&mut self, most: usize) {
+        self.scheduler.set_volume_limit(most);
+    }
+
     /// Records how late this process has run recently, in microseconds.
     pub fn note_lateness(&mut self, late: Time) {
         self.pool.note_lateness(late);
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -147,3 +147,159 @@
         client.read_exact(&mut some).expect("an answer");
     }
 }
+
+/// A write whose body has so many bytes.
+fn put_head(id: &str, shard: usize, length: usize) -> String {
+    let wait = WAIT.as_millis();
+    let fields =
+        format!("c=tally-write,t=standard,d={wait},volume=00000003b4d60021,units=2,shard={shard},hosts=1");
+    let (id_length, fields_length) = (id.len(), fields.len());
+    format!(
+        "*5\r\n$7\r\nOBJ.PUT\r\n$16\r\n7f3a9c21e0b4d655\r\n${id_length}\r\n{id}\r\n${fields_length}\r\n{fields}\r\n${length}\r\n"
+    )
+}
+
+/// Sends as much as the broker takes without waiting.
+fn send_what_fits(stream: &mut TcpStream, bytes: &[u8]) {
+    stream.set_nonblocking(true).expect("no waiting");
+    let mut sent = 0;
+    while let Ok(count) = stream.write(&bytes[sent..]) {
+        sent += count;
+        if sent == bytes.len() {
+            break;
+        }
+    }
+}
+
+/// An ordinary client beside trouble: asks again and again for so long, and returns how many answers it got in time.
+fn ask_beside(address: &str, duration: Duration) -> (usize, usize) {
+    let (begun, mut served, mut asked) = (Instant::now(), 0, 0);
+    let mut client = connect(address);
+    while begun.elapsed() < duration {
+        asked += 1;
+        let sent = Instant::now();
+        client.write_all(get(&format!("ordinary{asked}"), 1, 0).as_bytes()).expect("asks");
+        let first = line(&mut client).expect("an answer");
+        if first.starts_with('$') {
+            exact(&mut client, 7).expect("a value");
+            served += usize::from(sent.elapsed() < WAIT);
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    (served, asked)
+}
+
+fn assert_served_beside(site: &Site, duration: Duration) {
+    let (served, asked) = ask_beside(&site.broker.listen, duration);
+    println!("ordinary client: {served} of {asked} served");
+    assert!(asked > 20 && served * 10 >= asked * 9, "{served} of {asked} served");
+}
+
+/// Hundreds of clients in the middle of something: what each sends, and whether it reads.
+fn crowd(site: &Site, count: usize, what: impl Fn(usize) -> Vec<u8>) -> Vec<TcpStream> {
+    let mut clients = Vec::new();
+    for number in 0..count {
+        let mut client = connect(&site.broker.listen);
+        send_what_fits(&mut client, &what(number));
+        clients.push(client);
+    }
+    clients
+}
+
+/// Guards against clients that each hold the memory of a command which they never finish.
+#[test]
+fn hundreds_of_half_commands_stay_within_the_memory() {
+    let (_script, sound) = resp_node();
+    let site = site("half-commands", &[&sound]);
+    let half = |number: usize| {
+        let head = put_head(&format!("half{number}"), 0, 64_000);
+        [head.as_bytes(), &vec![b'x'; 60_000]].concat()
+    };
+    let clients = crowd(&site, 150, half);
+    assert_served_beside(&site, Duration::from_secs(2));
+    site.assert_within_memory();
+    drop(clients);
+}
+
+/// Guards against lists of fields that cost memory and time by their number.
+#[test]
+fn heads_of_very_many_short_fields_stay_within_the_memory() {
+    let (_script, sound) = resp_node();
+    let site = site("many-fields", &[&sound]);
+    let many = |number: usize| {
+        let fields: String = (0..9_000).map(|field| format!(",{field:x}=")).collect();
+        let text = get(&format!("fields{number}"), 1, 0);
+        let list = text.rsplit("\r\n").nth(1).expect("the fields").to_string();
+        let longer = format!("${}\r\n{list}{fields}", list.len() + fields.len());
+        text.replace(&format!("${}\r\n{list}", list.len()), &longer).into_bytes()
+    };
+    let clients = crowd(&site, 150, |number| (0..20).flat_map(|turn| many(number * 20 + turn)).collect());
+    assert_served_beside(&site, Duration::from_secs(2));
+    site.assert_within_memory();
+    drop(clients);
+}
+
+/// Guards against answers of clients that read nothing, short ones and long ones.
+#[test]
+fn hundreds_of_unread_answers_stay_within_the_memory() {
+    let (_script, sound) = resp_node();
+    let fast = slow_node(LONG, 64 * 1024, Duration::ZERO);
+    let site = site("unread", &[&sound, &fast]);
+    let pings = crowd(&site, 75, |_| b"*1\r\n$4\r\nPING\r\n".repeat(40_000));
+    let values = crowd(&site, 75, |number| get(&format!("unread{number}"), 1, 1).into_bytes());
+    assert_served_beside(&site, Duration::from_secs(2));
+    site.assert_within_memory();
+    drop((pings, values));
+}
+
+/// Guards against long writes that wait for a node which takes none of them.
+#[test]
+fn hundreds_of_long_writes_for_a_hung_node_stay_within_the_memory() {
+    let (_script, sound) = resp_node();
+    let hung = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let site = site("hung-writes", &[&sound, &hung.local_addr().expect("an address").to_string()]);
+    let write = |number: usize| {
+        [put_head(&format!("write{number}"), 1, LONG).as_bytes(), &vec![b'x'; LONG / 2]].concat()
+    };
+    let clients = crowd(&site, 150, write);
+    assert_served_beside(&site, Duration::from_secs(2));
+    site.assert_within_memory();
+    drop(clients);
+}
+
+/// Sends on one connection at full speed for a time, and reads what comes.
+fn flood(address: &str, duration: Duration, mut next: impl FnMut() -> Vec<u8>) {
+    let mut client = connect(address);
+    let mut reader = client.try_clone().expect("a second handle");
+    thread::spawn(move || {
+        let mut buffer = vec![0; 1 << 16];
+        while reader.read(&mut buffer).is_ok_and(|count| count > 0) {}
+    });
+    let begun = Instant::now();
+    while begun.elapsed() < duration {
+        if client.write_all(&next()).is_err() {
+            client = connect(address);
+        }
+    }
+}
+
+/// Guards against state that is kept for each name that a client makes up.
+#[test]
+fn requests_under_ever_new_names_stay_within_the_memory() {
+    const FOR: Duration = Duration::from_secs(8);
+    let (_script, sound) = resp_node();
+    let site = site("new-names", &[&sound]);
+    let address = site.broker.listen.clone();
+    let mut number = 0_u64;
+    let next = move || {
+        let named = |_| {
+            number += 1;
+            get(&format!("name{number}"), number, 0).replace("00000003b4d60021", &format!("{number:016x}"))
+        };
+        (0..500).map(named).collect::<String>().into_bytes()
+    };
+    let flooder = thread::spawn(move || flood(&address, FOR, next));
+    assert_served_beside(&site, FOR);
+    site.assert_within_memory();
+    flooder.join().expect("the flood ends");
+}
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -670,3 +670,38 @@
         assert_eq!(next.first().map(|send| send.0 == 500), Some(cheap_first), "{used}: {next:?}");
     }
 }
+
+/// Guards against memory that grows with the names that clients make up, and against a volume that gets a new limit because
+/// its state made room for others.
+#[test]
+fn ever_new_volumes_are_kept_up_to_a_number_and_limits_hold_all_the_same() {
+    const MOST: usize = 16;
+    let mut s = Drive::new(settings());
+    s.scheduler.set_volume_limit(MOST);
+    s.nodes(&[(1, 0)]);
+    let named = |s: &Drive, id: u64, plan: usize, volume: &str| {
+        let Event::Request(arrival) = s.arrival(Ask { plan, ..ask(id) }) else { unreachable!("a request") };
+        Event::Request(Arrival { volume: volume.to_string(), ..arrival })
+    };
+    let (mut id, mut spent) = (0, 0.0);
+    for round in 0..400 {
+        id += 1;
+        let event = named(&s, id, 1, &format!("new-{round}"));
+        s.event(event);
+        s.gone(id);
+        // A volume with a limit, between each two of the others.
+        id += 1;
+        let event = named(&s, id, 0, "limited");
+        let acts = s.event(event);
+        if let Some((_, node)) = sends(&acts).first() {
+            spent += 1.0;
+            s.served(id, 0, *node, 1_000);
+        } else {
+            s.gone(id);
+        }
+        s.wait(100);
+        assert!(s.scheduler.known().1 <= MOST, "{:?}", s.scheduler.known());
+    }
+    // Two hosts share 32 units at once and 20 a second; the 40 ms of this test add less than one.
+    assert!(spent <= 17.0, "{spent}");
+}
