Let other connections have their turn when one always has bytes to read

Callers saw: answers late or never while one client sent unsound requests at full speed on one connection.

Cause: a session whose socket always has bytes never waits, so the runtime never left it; a node at full speed did the same on its link.

Change: whoever has read as much as one read gives yields before it goes on, so that the others and the sockets have their turn. Works because a flood now gets one read for each turn of everybody else.

--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -327,6 +327,7 @@
             PartialReply { bytes: ReadBuffer::default(), received, waiting: waiting_bytes, reported: None };
         // Whether the other tasks have run since the socket became writable, so that an attempt may begin.
         let mut caught_up = false;
+        let mut yields = false;
         loop {
             if let Err(e) = self.exchange.fill() {
                 return Some(e.to_string());
@@ -335,6 +336,10 @@
             let waiting = !self.exchange.outbox().is_empty() || self.can_begin();
             let listens = self.exchange.wants_read(partial.bytes.len());
             let wakeup = self.exchange.wakeup();
+            if std::mem::take(&mut yields) {
+                // More is waiting on this connection. The others have their turn first.
+                tokio::task::yield_now().await;
+            }
             tokio::select! {
                 // Reads come first, so that a node's close is noticed before a request is written to it.
                 biased;
@@ -344,7 +349,7 @@
                     }
                     match partial.bytes.read(&stream) {
                         Ok(Received { bytes: 0, .. }) => return Some("closed by the node".to_string()),
-                        Ok(_) => {}
+                        Ok(Received { drained, .. }) => yields = !drained,
                         Err(e) if is_short_of_memory(&e) => {
                             tokio::time::sleep(RETRY_DELAY).await;
                             continue;
--- a/src/wire/session.rs
+++ b/src/wire/session.rs
@@ -187,6 +187,7 @@
     let mut read = ReadBuffer::default();
     let mut activity = Activity::new(loop_clock.now());
     let mut body_clock = BodyClock::new(loop_clock.now());
+    let mut yields = false;
     // Whether data was read ahead while no request was accepted.
     let mut has_unparsed = false;
     // Since when the socket has not been read.
@@ -310,6 +311,10 @@
         if read.is_empty() {
             dispatcher.clear_if_drained(&stream);
         }
+        if std::mem::take(&mut yields) {
+            // More is waiting on this connection. The others, and the sockets, have their turn first.
+            tokio::task::yield_now().await;
+        }
         tokio::select! {
             biased;
             Some((id, answer)) = answers.recv() => {
@@ -336,7 +341,10 @@
             ready = stream.readable(), if reads => {
                 match ready.and_then(|()| read.read(&stream)) {
                     Ok(Received { bytes: 0, .. }) => break CloseReason::ClientGone,
-                    Ok(Received { drained, .. }) => body_clock.read(dispatcher.loop_clock.now(), drained),
+                    Ok(Received { drained, .. }) => {
+                        body_clock.read(dispatcher.loop_clock.now(), drained);
+                        yields = !drained;
+                    }
                     Err(e) if is_short_of_memory(&e) => {
                         tokio::time::sleep(RETRY_DELAY).await;
                         continue;
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -283,6 +283,20 @@
     }
 }
 
+/// Guards against a connection that is served without a pause while others wait for their turn.
+#[test]
+fn unsound_requests_at_full_speed_keep_no_other_client_waiting() {
+    const FOR: Duration = Duration::from_secs(3);
+    let (_script, sound) = resp_node();
+    let site = site("unsound-flood", &[&sound]);
+    let address = site.broker.listen.clone();
+    let unsound = get("", 1, 0).repeat(2_000).into_bytes();
+    let flooder = thread::spawn(move || flood(&address, FOR, || unsound.clone()));
+    assert_served_beside(&site, FOR);
+    site.assert_within_memory();
+    flooder.join().expect("the flood ends");
+}
+
 /// Guards against state that is kept for each name that a client makes up.
 #[test]
 fn requests_under_ever_new_names_stay_within_the_memory() {
