Send nothing of a client that has closed with much still unread

Callers saw: requests of a client that had closed its connection, sent on afterwards.

Cause: the end of a connection was noticed behind all that was sent before it. A look ahead was made only while nothing was read, after 40 ms without any other event, and answers came more often than that.

Change: where requests are open, or more is waiting than one read gives, a session looks for the end each time round. Works because the kernel tells of the end also while bytes before it are unread.

--- a/src/wire/session.rs
+++ b/src/wire/session.rs
@@ -211,7 +211,12 @@
         if session.is_stream_broken() && !waiting {
             break CloseReason::BrokenValue;
         }
-        let answered = session.unanswered().is_empty() && !waiting && !session.is_streaming();
+        let has_unanswered = !session.unanswered().is_empty();
+        // The end of the connection may lie behind much that is unread, and nothing of that is to be sent any more.
+        if (has_unanswered || yields) && has_closed(&stream).await {
+            break CloseReason::ClientGone;
+        }
+        let answered = !has_unanswered && !waiting && !session.is_streaming();
         let now = dispatcher.loop_clock.now();
         if let Some(body) = session.incomplete_body().filter(|body| body_clock.examine_at(*body) <= now) {
             let is_held = !read.is_empty() || unread(&stream) == Unread::Bytes;
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -150,6 +150,37 @@
     }
 }
 
+/// Guards against requests that lie unread when their client closes, and that are read and sent while answers to others come.
+#[test]
+fn nothing_is_sent_that_was_unread_when_its_client_closed() {
+    /// How long after a close a request may still begin.
+    const AFTER_CLOSE: Duration = Duration::from_millis(100);
+    for ends_with_reset in [false, true] {
+        let (script, address) = resp_node();
+        let (_discovery, at) = Discovery::start(&member(&address));
+        let broker = Broker::start(&format!("unread-{ends_with_reset}"), &settings(true), &at, None);
+        until("the node is available", || ask(&broker, "read") == "$5");
+        let mut client = connect(&broker.listen);
+        let all: String = (0..8_000).map(|_| command("read")).collect();
+        let mut reader = client.try_clone().expect("a second handle");
+        client.write_all(all.as_bytes()).expect("the kernel takes them");
+        let seen = || script.lock().expect("the script").seen;
+        until("some of them are served", || seen() > 300);
+        if ends_with_reset {
+            drop((client, reader));
+        } else {
+            client.shutdown(std::net::Shutdown::Write).expect("closes");
+            thread::spawn(move || std::io::copy(&mut reader, &mut std::io::sink()));
+        }
+        thread::sleep(AFTER_CLOSE + Duration::from_millis(50));
+        let before = seen();
+        assert!(before < 7_000, "much is still unread: {before} were sent");
+        thread::sleep(Duration::from_millis(700));
+        assert_eq!(seen(), before, "nothing more is sent");
+        assert!(!broker.log().contains("rule broken"), "{}", broker.log());
+    }
+}
+
 /// Guards against a false report of a broken rule: a client that closes right after the process was stopped for a while had
 /// not yet closed when its request was read, and the read found nothing behind the request.
 #[test]
