Refuse the id of a request that may have run when its client left

Callers saw: an id that ran twice when it came again after its client had left. Reported by operators; reproduced: a write out at a node that hangs, its client closes, the same id from another client: the node had it twice.

Cause: the ids of open requests are refused, and a request whose client has left is not open any more, though its attempt may run yet.

Change: the id of a request of which an attempt may have run is kept for 60 s (state/recent_ids.rs), as many as the memory allows, the oldest makes room. What never began is free at once. Works because no second request of that id gets to a node while the first may run.

--- a/src/state/buffer_budget.rs
+++ b/src/state/buffer_budget.rs
@@ -37,6 +37,11 @@
         fits
     }
 
+    /// Returns the size of the budget in bytes.
+    pub fn total(&self) -> usize {
+        self.total
+    }
+
     /// Whether at least half of the budget is left. Buffers that wait for a single client or node grow beyond their usual size
     /// only then, so that they leave room for others.
     pub fn is_ample(&self) -> bool {
--- a/src/state/guard.rs
+++ b/src/state/guard.rs
@@ -300,6 +300,14 @@
         }
     }
 
+    /// Returns those of the requests that await their answers of which an attempt may have run, or may run yet.
+    pub fn may_have_run(&self, ids: &[RequestId]) -> Vec<RequestId> {
+        let ledger = self.0.borrow();
+        let may_have_run =
+            |id: &&RequestId| ledger.pending.get(id).is_some_and(|p| !p.may_have_run.is_empty());
+        ids.iter().filter(may_have_run).copied().collect()
+    }
+
     /// Counts each request that is lost by `now`, once.
     pub fn sweep(&self, now: Time) {
         let mut ledger = self.0.borrow_mut();
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -21,6 +21,7 @@
 pub mod pipe;
 pub mod planner;
 pub mod pool;
+pub mod recent_ids;
 pub mod scrub;
 pub mod stable_index;
 pub mod starts;
--- a/src/wire/resp/server.rs
+++ b/src/wire/resp/server.rs
@@ -8,6 +8,7 @@
 use crate::state::phase::Phase;
 use crate::state::pipe::{self, PipeWriter, Progress};
 use crate::state::planner::Answer;
+use crate::state::recent_ids::RecentIds;
 use crate::state::stable_index::Indexed;
 use crate::wire::link::{either, Wakeup};
 use crate::wire::session::{RequestIds, Session};
@@ -32,6 +33,13 @@
 const VALUE_OVERHEAD: usize = 256;
 /// Entries for which an empty queue of answers keeps its memory.
 const KEPT_SLOTS: usize = 16;
+/// How long the id of a request is refused that may have run and whose client has left, in microseconds. No request has a longer
+/// time.
+const ABANDONED_RETENTION: Time = 60_000_000;
+/// Fraction of the buffer budget that such ids may take in addition: one in so many.
+const ABANDONED_PART: usize = 32;
+/// Memory of such an id, in bytes.
+const ABANDONED_BYTES: usize = 256;
 /// Longest request id, in bytes.
 const MAX_ID_LENGTH: usize = 64;
 /// Number of hexadecimal digits in the name of a piece of data or of a volume.
@@ -90,13 +98,23 @@
     phase: watch::Receiver<Phase>,
     /// The clients' ids of all open requests of the front.
     open: RefCell<BTreeSet<Box<[u8]>>>,
+    /// The ids of requests whose client has left, and which may have run or may run yet.
+    abandoned: RefCell<RecentIds>,
 }
 
 impl SharedState {
     /// Creates the state for a front without sessions.
     pub fn new(schema: RequestSchema, budget: BufferBudget, phase: watch::Receiver<Phase>) -> Self {
-        let schema = RefCell::new(Rc::new(schema));
-        SharedState { schema, request_ids: RequestIds::default(), budget, phase, open: RefCell::default() }
+        let abandoned =
+            RecentIds::new(budget.total() / ABANDONED_PART / ABANDONED_BYTES, ABANDONED_RETENTION);
+        SharedState {
+            schema: RefCell::new(Rc::new(schema)),
+            request_ids: RequestIds::default(),
+            budget,
+            phase,
+            open: RefCell::default(),
+            abandoned: RefCell::new(abandoned),
+        }
     }
 }
 
@@ -305,6 +323,9 @@
         if self.shared.open.borrow().contains(&owed.id) {
             return Err(b"-ERR id of a request that is open\r\n");
         }
+        if self.shared.abandoned.borrow_mut().contains(now, &owed.id) {
+            return Err(b"-ERR id of a request that may have run\r\n");
+        }
         if !self.shared.budget.reserve(REQUEST_BYTES + held) {
             return Err(BUSY);
         }
@@ -621,6 +642,17 @@
         self.charge();
     }
 
+    fn abandon(&mut self, now: Time, may_have_run: &[RequestId]) {
+        let mut abandoned = self.shared.abandoned.borrow_mut();
+        for slot in &self.slots {
+            if let Slot::Unanswered(owed) = slot {
+                if may_have_run.contains(&owed.number) {
+                    abandoned.insert(now, owed.id.clone());
+                }
+            }
+        }
+    }
+
     fn unanswered(&self) -> Vec<RequestId> {
         let owed = |slot: &Slot| if let Slot::Unanswered(owed) = slot { Some(owed.number) } else { None };
         self.slots.iter().filter_map(owed).collect()
--- a/src/wire/session.rs
+++ b/src/wire/session.rs
@@ -97,6 +97,8 @@
     fn take_complete_upload(&mut self) -> Option<(RequestId, Time)> {
         None
     }
+    /// Records that the connection ends while these requests, which may have run or may run yet, have no answer.
+    fn abandon(&mut self, _now: Time, _may_have_run: &[RequestId]) {}
     /// Returns the requests that have no answer yet.
     fn unanswered(&self) -> Vec<RequestId>;
     /// Charges the memory of the read buffer to the buffer budget. Returns whether the budget allows another read.
@@ -389,7 +391,7 @@
             () = slot.woken() => {}
         }
     };
-    dispatcher.end(&session, &activity, reason, *phase.borrow());
+    dispatcher.end(&mut session, &activity, reason, *phase.borrow());
     let refuses = !activity.is_used() || admission == Admission::Refused;
     if refuses && reason.is_broker_initiated() {
         session.refuse_pending();
@@ -476,11 +478,12 @@
     }
 
     /// Ends a connection and withdraws its unanswered requests from the planner.
-    fn end<S: Session<W>>(&self, session: &S, activity: &Activity, reason: CloseReason, phase: Phase) {
+    fn end<S: Session<W>>(&self, session: &mut S, activity: &Activity, reason: CloseReason, phase: Phase) {
         let owed = session.unanswered();
         // If the process stalled, the client may have closed at the beginning of the stall, but not before the connection was
         // last seen open.
         let closed = self.loop_clock.earliest_arrival().max(self.last_seen_open.get());
+        session.abandon(self.loop_clock.now(), &self.guard.may_have_run(&owed));
         self.guard.close(&owed, closed, reason);
         match reason {
             CloseReason::NotRead | CloseReason::BrokenValue if !owed.is_empty() => {
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -181,6 +181,27 @@
     }
 }
 
+/// Guards against a write that runs twice: its client left while it was out, and its id comes again.
+#[test]
+fn an_id_whose_client_left_is_not_taken_again_if_it_may_have_run() {
+    let (script, address) = resp_node();
+    let (_discovery, at) = Discovery::start(&member(&address));
+    let broker = Broker::start("id-again", &settings(true), &at, None);
+    until("the node is available", || ask(&broker, "read") == "$5");
+    let seen = || script.lock().expect("the script").seen;
+    script.lock().expect("the script").next = vec![Manner::Hang];
+    let (before, write) = (seen(), command("save"));
+    let mut client = connect(&broker.listen);
+    client.write_all(write.as_bytes()).expect("sends the request");
+    until("the write is out", || seen() > before);
+    close(&broker, client);
+    let mut again = connect(&broker.listen);
+    again.write_all(write.as_bytes()).expect("sends it again");
+    let answer = line(&mut again).expect("an answer");
+    assert!(answer.starts_with("-ERR"), "{answer}");
+    assert_eq!(seen(), before + 1, "it ran once at most");
+}
+
 /// Guards against a false report of a broken rule: a client that closes right after the process was stopped for a while had
 /// not yet closed when its request was read, and the read found nothing behind the request.
 #[test]
--- a/tests/daily.rs
+++ b/tests/daily.rs
@@ -407,3 +407,22 @@
     let mut client = connect(&broker.listen);
     assert_eq!(ask(&mut client, 999, "page-read"), "value", "small requests are served");
 }
+
+/// Guards against a write that runs at both processes of an upgrade: its client left the one, and its id comes to the other.
+#[test]
+fn an_id_whose_client_left_is_not_taken_by_the_next_process() {
+    let rig = rig("ids");
+    let (old, _) = rig.start();
+    assert_eq!(ask(&mut connect(&old.listen), 1, "page-read"), "value");
+    rig.script.lock().expect("the script").next = vec![Manner::Hang];
+    let before = rig.seen();
+    let mut client = connect(&old.listen);
+    client.write_all(command(2, "tally-write").as_bytes()).expect("asks");
+    until("the write is out", || rig.seen() > before);
+    drop(client);
+    let (new, _) = rig.start();
+    std::thread::sleep(Duration::from_secs(1));
+    let answer = ask(&mut connect(&new.listen), 2, "tally-write");
+    assert!(answer.starts_with("-ERR id"), "{answer}");
+    assert_eq!(rig.seen(), before + 1, "it ran once at most");
+}
