Read further ahead for the end of a connection, and without a pause

Cause: the kernel has the end of a connection only once all that was written before it fits into the socket. What the broker reads ahead ended at 1 MiB, of 1.5 MB that the test sends, and went at the pace of one read for each turn of the others.

Change: up to 4 MiB are read ahead, while half of the budget is left; what is read ahead only makes no work, so it needs no turn of the others between.

More than that is still a known limit (docs/design/crossings.md).

--- a/src/wire/session.rs
+++ b/src/wire/session.rs
@@ -26,7 +26,7 @@
 /// Bytes that are read ahead while no further request of a client is accepted: the end of the connection may follow them.
 const READ_AHEAD: usize = 16 * 1024;
 /// Bytes that are read ahead if the buffer budget allows it.
-const MAX_READ_AHEAD: usize = 1 << 20;
+const MAX_READ_AHEAD: usize = 4 << 20;
 /// How often the driver checks whether a client has closed its connection after sending more than the read-ahead limit.
 const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(40);
 /// Attempts to write the last bytes of a connection.
@@ -350,7 +350,8 @@
                     Ok(Received { bytes: 0, .. }) => break CloseReason::ClientGone,
                     Ok(Received { drained, .. }) => {
                         body_clock.read(dispatcher.loop_clock.now(), drained);
-                        yields = !drained;
+                        // What is read ahead makes no work, and ends with the buffer.
+                        yields = !drained && accepts;
                     }
                     Err(e) if is_short_of_memory(&e) => {
                         tokio::time::sleep(RETRY_DELAY).await;
