Let bodies that still arrive take no place at their node

Callers saw: ordinary requests refused beside clients that write long values slowly. Part of a picture that operators reported; reproduced: 60 writers of 40 KB a second each left four ordinary clients 48 of some 1,500 answers in 8 s.

Cause: a write is sent while its body comes and was counted at its node like any other: after 0.6 s two of them make a node silent, which then gets one trial each 0.5 s; and each took one of 32 places of the book and one of 40 links.

Change: an attempt whose body still arrives is no load and owes no answer until the body is complete.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -288,6 +288,9 @@
     /// Update on a request whose body is forwarded while it arrives: the deadline as known now, and whether
     /// part of the body has already been discarded, so that no further attempt can send it.
     BodyProgress(RequestId, Time, bool),
+    /// Whether the body of the request of this attempt is still arriving from the client, so that the node
+    /// cannot have begun.
+    Receiving(NodeId, (RequestId, u32), bool),
     /// Fraction, from 0 to 1, of this host's part of all limits that this process may spend from now on. It
     /// is less than 1 while two processes act as one host, such as during a hand-over.
     LimitShare(f64),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -255,6 +255,13 @@
                     let _ = self.requests.entry(id).and_modify(|r| (r.due, r.body_discarded) = (due, spent));
                     self.check_no_later(id, due - ANSWER_MARGIN);
                 }
+                Event::Receiving(node, attempt, receiving) => {
+                    let average = self.average();
+                    if let Some(node) = self.fleet.get_mut(node) {
+                        node.set_receiving(now, attempt, receiving, average);
+                        self.changed.insert(Some(node.entry.shard));
+                    }
+                }
                 Event::LimitShare(part) => {
                     self.refill_limits(now);
                     (self.limit_share, self.limits_since) = (part.clamp(1e-6, 1.0), now);
@@ -711,19 +718,19 @@
             return false;
         }
         if node.unhealthy {
-            return now >= node.next_trial && node.bookings.len() < MAX_IN_FLIGHT;
+            return now >= node.next_trial && node.in_flight() < MAX_IN_FLIGHT;
         }
         let aim = self.tightest_aim() as f64;
         let low_value = request.late || request.value_fraction <= set.spare_value;
         let bound = aim * AIM_FRACTION / node.time_per_unit(now, self.average());
         let eased = bound * if low_value { 1.0 } else { SHARE_BOUND_FACTOR };
-        let below = |bound: f64| node.bookings.len() < MAX_IN_FLIGHT && node.units_in_flight + units <= bound;
+        let below = |bound: f64| node.in_flight() < MAX_IN_FLIGHT && node.units_in_flight + units <= bound;
         let fast = !request.late && eased >= set.mean_units;
         if !low_value && (fast || request.value_fraction >= 1.0) {
-            return node.bookings.is_empty() || below(bound.max(MIN_BOUND_REQUESTS * set.mean_units));
+            return node.in_flight() == 0 || below(bound.max(MIN_BOUND_REQUESTS * set.mean_units));
         }
         let no_recent_answer = low_value && now - node.last_answer > SECOND * Time::from(set.hosts);
-        (node.bookings.is_empty() && (fast || no_recent_answer)) || below(eased)
+        (node.in_flight() == 0 && (fast || no_recent_answer)) || below(eased)
     }
 
     /// Whether a request is within this host's even part of what a cold node can take in a window. For one
@@ -1018,8 +1025,7 @@
         // not count: without an answer from it, the estimate of this host does not change while the request
         // waits.
         let enough_nodes = self.fleet.up() >= self.settings.hosts as usize;
-        let answers =
-            |n: &&Node| enough_nodes || !n.bookings.is_empty() || self.has_capacity(now, n, request);
+        let answers = |n: &&Node| enough_nodes || n.in_flight() > 0 || self.has_capacity(now, n, request);
         let usable = |n: &&Node| !n.unhealthy && self.has_cold_capacity(now, n, request) && answers(n);
         let nodes: Vec<&Node> = group.iter().filter_map(|id| self.fleet.get(*id)).filter(usable).collect();
         // The group is a sample of all nodes, which together serve the requests ahead of this one.
--- a/src/rules/node.rs
+++ b/src/rules/node.rs
@@ -87,6 +87,9 @@
     pub(super) units_at_send: f64,
     /// Key of the request if its class is ordered.
     pub(super) key: Option<String>,
+    /// Whether the body is still arriving from the client. The node begins only after its last byte, so such
+    /// an attempt is no load, and no answer is expected.
+    pub(super) receiving: bool,
 }
 
 /// A node with its book and its health state.
@@ -94,7 +97,10 @@
 pub(super) struct Node {
     pub(super) entry: NodeEntry,
     pub(super) bookings: BTreeMap<(RequestId, u32), Booking>,
+    /// Units of the attempts in flight whose body is complete.
     pub(super) units_in_flight: f64,
+    /// Number of attempts in flight whose body is still arriving.
+    pub(super) receiving: usize,
     /// Projected end of all attempts in flight.
     pub(super) free_at: Time,
     /// Time per unit in microseconds.
@@ -126,10 +132,37 @@
     /// Projected time at which the node finishes all attempts in flight. Attempts past their projected end
     /// are counted again, so that a stalled node does not look free.
     pub(super) fn projected_free(&self, now: Time, average: f64) -> Time {
-        let overdue: f64 = self.bookings.values().filter(|b| b.end <= now).map(|b| b.units).sum();
+        let overdue: f64 = self.begun().filter(|b| b.end <= now).map(|b| b.units).sum();
         self.free_at.max(now) + (overdue * self.time_per_unit(now, average)) as Time
     }
 
+    /// Returns the attempts in flight that the node may be working on.
+    fn begun(&self) -> impl Iterator<Item = &Booking> {
+        self.bookings.values().filter(|booking| !booking.receiving)
+    }
+
+    /// Returns the number of attempts in flight that the node may be working on.
+    pub(super) fn in_flight(&self) -> usize {
+        self.bookings.len() - self.receiving
+    }
+
+    /// Records whether the body of an attempt is still arriving. Once it is complete, the attempt counts as
+    /// sent.
+    pub(super) fn set_receiving(&mut self, now: Time, id: (RequestId, u32), receiving: bool, average: f64) {
+        let before = self.bookings.get(&id).map(|booking| booking.receiving);
+        if before.is_none_or(|before| before == receiving) {
+            return;
+        }
+        let Some(booking) = self.remove_booking(now, id) else { return };
+        self.add_booking(now, id, booking.units, booking.key, average);
+        if receiving {
+            let Some(mut booking) = self.remove_booking(now, id) else { return };
+            booking.receiving = true;
+            self.receiving += 1;
+            self.bookings.insert(id, booking);
+        }
+    }
+
     /// Records an attempt that is sent at `now`.
     pub(super) fn add_booking(
         &mut self,
@@ -142,16 +175,20 @@
         let end = self.free_at.max(now) + (units * self.time_per_unit(now, average)) as Time;
         self.free_at = end;
         self.units_in_flight += units;
-        self.bookings.insert(id, Booking { units, sent: now, end, units_at_send: self.units_in_flight, key });
+        let units_at_send = self.units_in_flight;
+        self.bookings.insert(id, Booking { units, sent: now, end, units_at_send, key, receiving: false });
     }
 
     /// Removes an ended attempt from the book and moves the projected end of the remaining ones forward by
     /// the time that the attempt no longer needs.
     pub(super) fn remove_booking(&mut self, now: Time, id: (RequestId, u32)) -> Option<Booking> {
         let ended = self.bookings.remove(&id)?;
-        self.units_in_flight =
-            if self.bookings.is_empty() { 0.0 } else { self.units_in_flight - ended.units };
-        self.free_at = match self.bookings.values().map(|b| b.end).max() {
+        if ended.receiving {
+            self.receiving -= 1;
+            return Some(ended);
+        }
+        self.units_in_flight = if self.in_flight() == 0 { 0.0 } else { self.units_in_flight - ended.units };
+        self.free_at = match self.begun().map(|b| b.end).max() {
             None => now,
             Some(_) => self.free_at - (ended.end - now).clamp(0, (ended.end - ended.sent).max(0)),
         };
@@ -208,8 +245,8 @@
     /// Whether the node has attempts of this host in flight and has not answered for longer than any normal
     /// pause. At least two must be in flight, since the answer of a single one may have been lost.
     pub(super) fn is_silent(&self, now: Time, average: f64) -> bool {
-        let oldest = self.bookings.values().map(|b| b.sent).min().unwrap_or(now);
+        let oldest = self.begun().map(|b| b.sent).min().unwrap_or(now);
         let timeout = (self.units_in_flight * self.time_per_unit(now, average) * SILENCE_FACTOR) as Time;
-        self.bookings.len() > 1 && now - oldest.max(self.last_answer) > timeout.max(MIN_SILENCE)
+        self.in_flight() > 1 && now - oldest.max(self.last_answer) > timeout.max(MIN_SILENCE)
     }
 }
--- a/src/state/planner/mod.rs
+++ b/src/state/planner/mod.rs
@@ -69,6 +69,8 @@
     link: Option<LinkId>,
     sent: Time,
     until: Time,
+    /// Whether the body is still arriving from the client.
+    receiving: bool,
 }
 
 /// Numbers of requests without a final answer by shard; the key is `None` for new objects, which have no shard yet.
@@ -102,6 +104,8 @@
     /// The number of `requests` by shard. A shard without requests has no entry.
     open_by_shard: OpenByShard,
     attempts: BTreeMap<AttemptId, Attempt>,
+    /// The number of attempts whose body is still arriving, by node. A node without any has no entry.
+    receiving: BTreeMap<NodeId, usize>,
     /// The `attempts` by the link that carries them. A link without attempts has no entry.
     attempts_on_link: BTreeMap<LinkId, BTreeSet<AttemptId>>,
     addresses: BTreeMap<NodeId, String>,
@@ -127,6 +131,7 @@
             requests: BTreeMap::new(),
             open_by_shard: OpenByShard::new(),
             attempts: BTreeMap::new(),
+            receiving: BTreeMap::new(),
             attempts_on_link: BTreeMap::new(),
             addresses: BTreeMap::new(),
             pool: Pool::new(limits),
@@ -478,6 +483,9 @@
     /// Records the end of an attempt. A further report on an attempt that has already ended is ignored.
     fn settle_attempt(&mut self, now: Time, attempt_id: AttemptId, end: AttemptEnd<W::Reply>) {
         let Some(attempt) = self.attempts.remove(&attempt_id) else { return };
+        if attempt.receiving {
+            self.note_received(attempt.node);
+        }
         self.leave_link(attempt.link, attempt_id);
         self.deadlines.remove(attempt.until, Deadline::Attempt(attempt_id));
         self.counts.endings[end.ending as usize] += 1;
@@ -604,7 +612,12 @@
         self.counts.sent += 1;
         let (request, revoked, awaits_body) = (open.request.clone(), open.revoked, open.awaits_body);
         let channel = W::channel(&request);
-        let mut attempt = Attempt { node, link: None, sent: now, until };
+        let mut attempt = Attempt { node, link: None, sent: now, until, receiving: false };
+        if awaits_body && !self.may_receive(node) {
+            self.attempts.insert(attempt_id, attempt);
+            self.settle_attempt(now, attempt_id, AttemptEnd::without_reply(Ending::NoLink));
+            return;
+        }
         if revoked {
             self.attempts.insert(attempt_id, attempt);
             self.settle_attempt(now, attempt_id, AttemptEnd::without_reply(Ending::NotSent));
@@ -634,15 +647,35 @@
             }
         };
         attempt.link = Some(link);
+        attempt.receiving = awaits_body;
         self.attempts.insert(attempt_id, attempt);
         self.attempts_on_link.entry(link).or_default().insert(attempt_id);
         self.deadlines.insert(until, Deadline::Attempt(attempt_id));
         effects.push(Effect::Send(link, attempt_id, times, request));
         if awaits_body {
+            *self.receiving.entry(node).or_default() += 1;
+            self.events.push(Event::Receiving(node, attempt_id, true));
             self.set_due(now, id, UNTIL_BODY_ENDS, false);
         }
     }
 
+    /// Whether an attempt whose body is still arriving may hold a link to a node.
+    fn may_receive(&self, node: NodeId) -> bool {
+        let (of_node, of_all) = self.pool.receiving_limits();
+        let count = self.receiving.get(&node).copied().unwrap_or(0);
+        count < of_node && self.receiving.values().sum::<usize>() < of_all
+    }
+
+    /// Records that the body of an attempt at a node no longer arrives.
+    fn note_received(&mut self, node: NodeId) {
+        if let Some(count) = self.receiving.get_mut(&node) {
+            *count -= 1;
+            if *count == 0 {
+                self.receiving.remove(&node);
+            }
+        }
+    }
+
     /// Ends the attempts of a request whose body is not complete, so that it gets its answer now. Its node is to blame only if
     /// it did not take the body in time.
     fn end_body(&mut self, now: Time, id: RequestId, end: BodyEnd, effects: &mut Vec<Effect<W>>) {
@@ -664,14 +697,22 @@
         open.awaits_body &= !complete;
         let due = due.min(self.answer_by);
         self.events.push(Event::BodyProgress(id, due, W::is_body_consumed(&open.request)));
+        let mut received = Vec::new();
         for (attempt_id, attempt) in self.attempts.range_mut((id, 0)..=(id, u32::MAX)) {
             self.deadlines.remove(attempt.until, Deadline::Attempt(*attempt_id));
             self.deadlines.insert(due, Deadline::Attempt(*attempt_id));
             attempt.until = due;
             if complete {
                 attempt.sent = now;
+                if std::mem::take(&mut attempt.receiving) {
+                    received.push((attempt.node, *attempt_id));
+                }
             }
         }
+        for (node, attempt_id) in received {
+            self.note_received(node);
+            self.events.push(Event::Receiving(node, attempt_id, false));
+        }
     }
 
     fn answer(&mut self, id: RequestId, reason: Reason, answer: Answer<W::Reply>) {
--- a/src/state/pool.rs
+++ b/src/state/pool.rs
@@ -229,6 +229,12 @@
         self.links.get(&id)?.idle_since.map(|since| since + self.limits.terms.idle)
     }
 
+    /// Returns how many attempts whose bodies are still arriving may hold links at once, to one node and to all: half of what
+    /// there may be, so that slow clients leave links to others.
+    pub fn receiving_limits(&self) -> (usize, usize) {
+        ((self.limits.links_per_node / 2).max(1), (self.limits.links / 2).max(1))
+    }
+
     /// Records the reply that is being streamed on a link, or `None` if no reply is.
     pub fn set_streaming(&mut self, id: LinkId, reply: Option<StreamedReply>) {
         if let Some(link) = self.links.get_mut(&id) {
--- a/src/wire/resp/server.rs
+++ b/src/wire/resp/server.rs
@@ -11,6 +11,7 @@
 use crate::state::recent_ids::RecentIds;
 use crate::state::stable_index::Indexed;
 use crate::wire::link::{either, Wakeup};
+use crate::wire::read_buffer::READ_SIZE;
 use crate::wire::session::{RequestIds, Session};
 use bytes::Buf;
 use std::cell::RefCell;
@@ -301,6 +302,7 @@
         if words.len() != 4 + usize::from(put && long.is_none()) {
             return Err(b"-ERR wrong number of arguments\r\n");
         }
+        let is_long = long.is_some();
         let length: usize = words.iter().map(Bytes::len).sum();
         let mut words = words.into_iter().skip(1);
         let mut next = || words.next().unwrap_or_default();
@@ -326,7 +328,8 @@
         if self.shared.abandoned.borrow_mut().contains(now, &owed.id) {
             return Err(b"-ERR id of a request that may have run\r\n");
         }
-        if !self.shared.budget.reserve(REQUEST_BYTES + held) {
+        let is_refused = is_long && self.shared.budget.is_low();
+        if is_refused || !self.shared.budget.reserve(REQUEST_BYTES + held) {
             return Err(BUSY);
         }
         self.shared.open.borrow_mut().insert(owed.id.clone());
@@ -689,7 +692,8 @@
     fn charge_read(&mut self, memory: usize) -> bool {
         self.read_memory = memory;
         self.charge();
-        memory < UNCHARGED || self.shared.budget.is_ample()
+        let budget = &self.shared.budget;
+        memory < UNCHARGED || budget.is_ample() || (memory <= UNCHARGED + READ_SIZE && !budget.is_low())
     }
 
     fn may_read_far_ahead(&self) -> bool {
--- a/src/wire/session.rs
+++ b/src/wire/session.rs
@@ -302,7 +302,8 @@
         // read any more once new requests would not be answered.
         let within_budget = session.charge_read(read.memory());
         let far_ahead = session.may_read_far_ahead() && read.len() < MAX_READ_AHEAD;
-        let reads_ahead = !session.is_streaming() && (read.len() < READ_AHEAD || far_ahead);
+        // What lies behind a body that is not consumed says nothing before the body is.
+        let reads_ahead = !session.is_streaming() && !receives_body && (read.len() < READ_AHEAD || far_ahead);
         let reads = within_budget && (accepts || (may_read && reads_ahead));
         if !reads || incomplete_body.is_some_and(|body| read.len() >= body.left) {
             body_clock.not_read(now);
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -317,3 +317,33 @@
     site.assert_within_memory();
     flooder.join().expect("the flood ends");
 }
+
+/// Guards against slow writers that take a node's place from others: it seems silent or full while it waits for their bodies.
+#[test]
+fn ordinary_clients_are_served_beside_slow_writers() {
+    const FOR: Duration = Duration::from_secs(4);
+    let (_script, sound) = resp_node();
+    let site = site("slow-writers", &[&sound]);
+    // The broker learns how fast the node is.
+    ask_beside(&site.broker.listen, Duration::from_secs(1));
+    let writers: Vec<_> = (0..60)
+        .map(|number| {
+            let mut client = connect(&site.broker.listen);
+            let request =
+                [put_head(&format!("slow{number}"), 0, 400_000).as_bytes(), &[b'x'; 400_000]].concat();
+            thread::spawn(move || {
+                let begun = Instant::now();
+                for piece in request.chunks(4_000) {
+                    if begun.elapsed() > FOR || client.write_all(piece).is_err() {
+                        return;
+                    }
+                    thread::sleep(Duration::from_millis(100));
+                }
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(300));
+    assert_served_beside(&site, Duration::from_secs(3));
+    site.assert_within_memory();
+    writers.into_iter().for_each(|writer| writer.join().expect("it ends"));
+}
