Count the time of a body from its own beginning

Seen: a long write on a connection that had given a long value for longer than the write's time was refused at once (-BUSY).

Cause: the clock of a body kept the time since which the socket was not read, and that was not cleared where the socket was left unread under an earlier answer.

Change: while no body is received the clock is empty. Works because what lay unread before a body's head says nothing of the body.

Test: a_long_write_behind_a_long_value_has_its_own_time failed on (-BUSY 1) and passes now, with the other seven of tests/long_values.rs.

--- a/src/wire/session.rs
+++ b/src/wire/session.rs
@@ -230,6 +230,10 @@
         }
         let incomplete_body = session.incomplete_body();
         let receives_body = incomplete_body.is_some();
+        if !receives_body {
+            // How long anything else lies unread says nothing about the next body.
+            body_clock.empty();
+        }
         let idle = answered && !receives_body;
         let evictable = answered && session.is_evictable();
         slot.set_evictable(evictable.then(|| activity.spare()));
--- a/tests/long_values.rs
+++ b/tests/long_values.rs
@@ -260,3 +260,50 @@
         exact(&mut client, LENGTH + 2).expect("all of the value");
     }
 }
+
+/// A node that gives the value of each read over 1.8 s, and serves each write at once.
+fn slow_value_node(length: usize) -> String {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let serve = move |mut stream: TcpStream| -> std::io::Result<()> {
+        loop {
+            let count: usize = line(&mut stream)?[1..].parse().map_err(std::io::Error::other)?;
+            let words = (0..count).map(|_| bulk(&mut stream)).collect::<std::io::Result<Vec<Vec<u8>>>>()?;
+            if words[0] == b"OBJ.PUT" {
+                stream.write_all(b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n")?;
+                continue;
+            }
+            let head = format!("*3\r\n${length}\r\n");
+            let reply = [head.as_bytes(), &vec![b'v'; length], b"\r\n$-1\r\n$-1\r\n"].concat();
+            for piece in reply.chunks(reply.len().div_ceil(18)) {
+                stream.write_all(piece)?;
+                thread::sleep(Duration::from_millis(100));
+            }
+        }
+    };
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || serve(stream));
+        }
+    });
+    address
+}
+
+/// Guards against a long write whose time is counted from when the connection was last not read for another reason.
+#[test]
+fn a_long_write_behind_a_long_value_has_its_own_time() {
+    const LENGTH: usize = 300_000;
+    let site = site("write-behind", &slow_value_node(LENGTH));
+    let mut client = connect(&site.broker.listen);
+    let fields = fields("page-read");
+    let read = format!(
+        "*4\r\n$7\r\nOBJ.GET\r\n$16\r\n7f3a9c21e0b4d655\r\n$1\r\n1\r\n${}\r\n{fields}\r\n",
+        fields.len()
+    );
+    client.write_all(read.as_bytes()).expect("asks");
+    assert_eq!(line(&mut client).expect("an answer"), format!("${LENGTH}"));
+    exact(&mut client, LENGTH + 2).expect("all of the value");
+    thread::sleep(Duration::from_millis(200));
+    client.write_all(&put(2, 1 << 20)).expect("writes");
+    assert_eq!(line(&mut client).expect("an answer"), "$5");
+}
