--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,6 +3,8 @@
 
 pub mod net;
 pub mod parse;
+pub mod paused_node;
+pub mod site;
 
 use claywinch::interface::*;
 use claywinch::rules::Scheduler;
--- a/tests/long_values.rs
+++ b/tests/long_values.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::net::*;
+use common::site::{site, LONGEST};
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::thread;
@@ -12,48 +13,9 @@
 const WAIT: Duration = Duration::from_millis(1_200);
 /// An answer that comes later than this after its time counts as lost; every time limit is 50 ms longer.
 const LOST_AFTER: Duration = Duration::from_millis(550);
-/// The longest deadline of the settings.
-const LONGEST: Duration = Duration::from_secs(2);
 /// How long after the longest deadline SIGKILL comes at the earliest, counted from SIGTERM.
 const KILL_AFTER: Duration = Duration::from_millis(700);
 
-fn settings() -> String {
-    let class = |name: &str, effect: &str| {
-        format!(
-            r#"{{"name":"{name}","promise_s":0.5,"deadline_s":{},"credit":2.0,"late_worth":0.2,"effect":"{effect}"}}"#,
-            LONGEST.as_secs()
-        )
-    };
-    format!(
-        r#"{{"balancers":1,"localities":["a"],"registry_mode":"on_request","services":[{},{}],
-        "bounds":{{"most_tries":4,"second_copies":false,"cancel":true,"probes":false,"retry_after":true,
-          "max_retry_after_s":2.0,"conn_idle_s":15.0,"connect_timeout_s":0.25,"multiplex":16}},
-        "contracts":[{{"name":"standard","base_rate":500.0,"parts":1.0,"price":1.0,"floor_rate":400.0}}],
-        "extra":{{"usual_units":2.0,"largest":16,"fair_worth":0.4,"spare_worth":0.05,"young_limit":7.0}},
-        "rules":{{"start_capacity":0.15,"cold_s":1.0,"tip_after_s":0.5}}}}"#,
-        class("page-read", "free"),
-        class("tally-write", "single_shot")
-    )
-}
-
-/// A broker before one node, with an address for operators.
-struct Site {
-    broker: Broker,
-    admin: String,
-    _discovery: Discovery,
-}
-
-fn site(name: &str, node: &str) -> Site {
-    let member = format!(
-        r#"{{"id":"s-00000001","host_port":"{node}","locality":"a","cell":0,"phase":"ready","up_since_ms":0}}"#
-    );
-    let (discovery, at) = Discovery::start(&member);
-    let admin = free_address();
-    let broker = Broker::start_with(name, &settings(), &at, None, 256, &[("RELAY_ADMIN", &admin)]);
-    until("the list is in force", || broker.log().contains("list of nodes"));
-    Site { broker, admin, _discovery: discovery }
-}
-
 fn fields(class: &str) -> String {
     let wait = WAIT.as_millis();
     format!("c={class},t=standard,d={wait},volume=00000003b4d60021,units=2,shard=0,hosts=1")
