End an answer that has begun only by the silence of its node

Cause: two bounds took a pause for the end of an answer. A short one had 0.3 s between its parts. A long one had 0.3 s once its client's time was over, unless bytes still came 0.2 s after its beginning: whoever gave 50 KB at once and then paused was taken for one that stands still. The reason for that bound, the requests behind it, does not hold: the time spent waiting for the answers ahead of one does not count.

Change: state/reply_clock.rs alone decides. A node that has sent nothing for 2 s while the broker reads has fallen silent; nothing else ends an answer of which the client has begun to receive bytes. An answer that goes to its client only whole has its client's time besides. The link and the planner share what has arrived, so the 2 s count from the last byte itself; reports of a long reply were up to 0.1 s old. What the planner says of a reply's end is logged (id, bytes, silence, bound).

The planner's test of the 0.3 s is replaced, since that bound was the fault: silence ends a reply to the microsecond, and a reply in parts has its client's time and no more.

The planner's parts on bodies and replies are files of their own now.

--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -22,6 +22,7 @@
 pub mod planner;
 pub mod pool;
 pub mod recent_ids;
+pub mod reply_clock;
 pub mod scrub;
 pub mod stable_index;
 pub mod starts;
--- a/src/state/planner/messages.rs
+++ b/src/state/planner/messages.rs
@@ -3,6 +3,7 @@
 use crate::interface::{Arrival, Ending, ListKind, NodeEntry, NodeId, RequestId, Settings, Time};
 use crate::state::body_clock::BodyEnd;
 use crate::state::pool::{LinkId, LinkSettings, Sharing};
+use crate::state::reply_clock::ReplyArrival;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 
@@ -141,9 +142,9 @@
     BodyEnded(RequestId, BodyEnd),
     /// The connection of a link is up.
     LinkUp(LinkId),
-    /// Bytes have arrived on this link. If they end within an incomplete reply, holds the timeout for the next bytes;
-    /// `None` if every reply is complete or the link is not waiting for its node.
-    PartialReply(LinkId, Option<Time>),
+    /// A reply on this link is incomplete, and the link waits for its node: holds what has arrived, which the link keeps up to
+    /// date. `None` if every reply is complete or the link is not waiting for its node any more.
+    PartialReply(LinkId, Option<ReplyArrival>),
     /// The link has ended. All its attempts were reported as ended before.
     LinkDown(LinkId, LinkEnd),
     /// An update of the node list.
--- a/src/state/planner/mod.rs
+++ b/src/state/planner/mod.rs
@@ -3,17 +3,19 @@
 //! effects (what the caller must do on sockets). It is independent of the wire protocol: requests and
 //! replies pass through it without being inspected.
 
+mod bodies;
 mod messages;
+mod replies;
 
 pub use messages::{
     Answer, AnswerSender, AttemptEnd, AttemptId, AttemptTimes, ClientRequest, Effect, Input, LinkEnd,
     ListedNode, RequestFilter, Wire,
 };
 
-use super::body_clock::BodyEnd;
 use super::deadlines::{Deadlines, Lateness};
 use super::guard::{Guard, Repeats};
-use super::pool::{LinkId, Pick, Pool, PoolLimits, StreamedReply, SUPERSEDED_LINKS};
+use super::pool::{LinkId, Pick, Pool, PoolLimits, SUPERSEDED_LINKS};
+use super::reply_clock::ReplyEnd;
 use crate::interface::{
     Action, Arrival, Effect as RequestEffect, Ending, Event, ListKind, NodeId, NodeState,
 };
@@ -31,20 +33,10 @@
     Attempt(AttemptId),
     /// The idle timeout of a link may have expired.
     Idle(LinkId),
-    /// The timeout for the next bytes of an incomplete reply on a link may have expired.
+    /// The node of a link may have been silent for too long inside a reply.
     PartialReply(LinkId),
 }
 
-/// How long after its request's deadline a streamed reply may end that has stood still since its beginning, in microseconds.
-/// The client, and the clients whose answers are queued behind this reply, must see its end before their requests count as
-/// lost.
-const LATE_REPLY_PAUSE: Time = 300_000;
-/// How long after its beginning a streamed reply whose bytes still arrive counts as given slowly, in microseconds.
-const SLOW_REPLY: Time = 200_000;
-/// Longest pause between two parts of a reply that is given slowly, once its request's deadline has passed, in microseconds. A
-/// value that a node still gives must not be cut off, and one that is held back for this long counts as lost.
-const SLOW_REPLY_PAUSE: Time = 2_000_000;
-
 /// The deadline of a request whose body is still arriving: the session ends it, see
 /// [`BodyClock`](super::body_clock::BodyClock). Its own deadline counts from the last byte of the body.
 const UNTIL_BODY_ENDS: Time = Time::MAX / 2;
@@ -242,11 +234,7 @@
                     Some(_) => self.close_link(now, link, effects),
                     None => {}
                 },
-                Deadline::PartialReply(link) => {
-                    if self.pool.is_stalled(now, link) {
-                        self.break_link(now, link, Ending::Reset, effects);
-                    }
-                }
+                Deadline::PartialReply(link) => self.check_reply(now, link, effects),
             }
         }
         // Carrying out an action can produce an outcome immediately, when no link is available; the scheduler
@@ -312,8 +300,7 @@
                 self.settle_attempt(now, attempt_id, end);
             }
             Input::ReplyBegun(link, attempt_id, end) => {
-                let until = self.attempts.get(&attempt_id).map_or(now, |attempt| attempt.until);
-                self.pool.set_streaming(link, Some(StreamedReply { begun: now, until }));
+                self.pool.set_streaming(link, Some(attempt_id));
                 self.settle_attempt(now, attempt_id, end);
             }
             Input::ReplyFinished(link) => {
@@ -325,13 +312,7 @@
             Input::BodyComplete(id, due) => self.set_due(now, id, due, true),
             Input::BodyEnded(id, end) => self.end_body(now, id, end, effects),
             Input::LinkUp(link) => self.pool.note_up(link),
-            Input::PartialReply(link, timeout) => {
-                let until = timeout.map(|timeout| self.next_part_due(now, link, timeout));
-                self.pool.set_partial(link, until);
-                if let Some(until) = until {
-                    self.deadlines.insert(until, Deadline::PartialReply(link));
-                }
-            }
+            Input::PartialReply(link, arrival) => self.note_partial_reply(link, arrival),
             Input::LinkDown(link, down) => {
                 self.pool.remove(now, link, down == LinkEnd::Never);
                 match down {
@@ -447,20 +428,6 @@
         let _ = open.back.send((id, Answer::Refused(0)));
     }
 
-    /// Returns the time by which the next part of a reply must arrive on a link with this timeout, if a part arrived at `now`.
-    /// Around the request's deadline a streamed reply has less time than that.
-    fn next_part_due(&self, now: Time, link: LinkId, timeout: Time) -> Time {
-        let Some(StreamedReply { begun, until }) = self.pool.streamed_reply(link) else {
-            return now + timeout;
-        };
-        let is_slow = now - begun >= SLOW_REPLY;
-        let end = match is_slow {
-            true => (now + SLOW_REPLY_PAUSE).max(until + LATE_REPLY_PAUSE),
-            false => until.max(now) + LATE_REPLY_PAUSE,
-        };
-        end.min(now + timeout)
-    }
-
     /// Moves the timeout of every attempt that would time out after `at` to `at`, and passes `at` to the scheduler.
     fn answer_all_by(&mut self, at: Time) {
         self.answer_by = at;
@@ -538,6 +505,9 @@
     ) {
         let Some(attempt) = self.attempts.get(&attempt_id) else { return };
         let link = attempt.link;
+        if let Some(link) = link.filter(|_| ending == Ending::TimedOut) {
+            self.log_reply_end(now, link, attempt_id, ReplyEnd::OutOfTime);
+        }
         self.settle_attempt(now, attempt_id, AttemptEnd::without_reply(ending));
         let Some(link) = link else { return };
         effects.push(Effect::Withdraw(link, attempt_id));
@@ -659,62 +629,6 @@
         }
     }
 
-    /// Whether an attempt whose body is still arriving may hold a link to a node.
-    fn may_receive(&self, node: NodeId) -> bool {
-        let (of_node, of_all) = self.pool.receiving_limits();
-        let count = self.receiving.get(&node).copied().unwrap_or(0);
-        count < of_node && self.receiving.values().sum::<usize>() < of_all
-    }
-
-    /// Records that the body of an attempt at a node no longer arrives.
-    fn note_received(&mut self, node: NodeId) {
-        if let Some(count) = self.receiving.get_mut(&node) {
-            *count -= 1;
-            if *count == 0 {
-                self.receiving.remove(&node);
-            }
-        }
-    }
-
-    /// Ends the attempts of a request whose body is not complete, so that it gets its answer now. Its node is to blame only if
-    /// it did not take the body in time.
-    fn end_body(&mut self, now: Time, id: RequestId, end: BodyEnd, effects: &mut Vec<Effect<W>>) {
-        self.set_due(now, id, now, true);
-        let ending = match end {
-            BodyEnd::OutOfTime => Ending::TimedOut,
-            BodyEnd::Stalled => Ending::Cancelled,
-        };
-        let attempts = self.attempts.range((id, 0)..=(id, u32::MAX)).map(|(attempt_id, _)| *attempt_id);
-        for attempt_id in attempts.collect::<Vec<AttemptId>>() {
-            self.give_up_attempt(now, attempt_id, ending, effects);
-        }
-    }
-
-    /// Sets a new deadline for a request with a streamed body and for its attempts. Once the body is `complete`, the
-    /// waiting time for the node counts from now, since the node begins only after the last byte of the body.
-    fn set_due(&mut self, now: Time, id: RequestId, due: Time, complete: bool) {
-        let Some(open) = self.requests.get_mut(&id) else { return };
-        open.awaits_body &= !complete;
-        let due = due.min(self.answer_by);
-        self.events.push(Event::BodyProgress(id, due, W::is_body_consumed(&open.request)));
-        let mut received = Vec::new();
-        for (attempt_id, attempt) in self.attempts.range_mut((id, 0)..=(id, u32::MAX)) {
-            self.deadlines.remove(attempt.until, Deadline::Attempt(*attempt_id));
-            self.deadlines.insert(due, Deadline::Attempt(*attempt_id));
-            attempt.until = due;
-            if complete {
-                attempt.sent = now;
-                if std::mem::take(&mut attempt.receiving) {
-                    received.push((attempt.node, *attempt_id));
-                }
-            }
-        }
-        for (node, attempt_id) in received {
-            self.note_received(node);
-            self.events.push(Event::Receiving(node, attempt_id, false));
-        }
-    }
-
     fn answer(&mut self, id: RequestId, reason: Reason, answer: Answer<W::Reply>) {
         let Some(open) = self.close_request(id) else { return };
         let refused = matches!(answer, Answer::Refused(_));
--- a/src/state/pool.rs
+++ b/src/state/pool.rs
@@ -1,5 +1,7 @@
 //! The pool of links to nodes: chooses the link for each attempt and closes idle links.
 
+use super::planner::AttemptId;
+use super::reply_clock::ReplyArrival;
 use crate::interface::{NodeId, Time};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -39,21 +41,21 @@
     /// Number of attempts whose answers are outstanding, including withdrawn attempts.
     in_flight: usize,
     idle_since: Option<Time>,
-    /// The time by which the next part of an incomplete reply must arrive, if there is an incomplete reply.
-    partial_until: Option<Time>,
-    /// The reply that is being streamed on this link, if one is. No request is queued behind it, since it would have to wait
-    /// for a client to read.
-    streamed: Option<StreamedReply>,
+    /// What has arrived of an incomplete reply, if there is one and the broker waits for more of it.
+    partial: Option<AwaitedReply>,
+    /// The attempt whose reply is being streamed on this link, if one is. No request is queued behind it, since it would have
+    /// to wait for a client to read.
+    streamed: Option<AttemptId>,
     up: bool,
 }
 
-/// A reply that is passed on to its client while it arrives.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct StreamedReply {
-    /// When its first bytes arrived.
-    pub begun: Time,
-    /// The deadline of its client.
-    pub until: Time,
+/// An incomplete reply of which the broker waits for more.
+#[derive(Debug)]
+pub struct AwaitedReply {
+    /// What has arrived of it.
+    pub arrival: ReplyArrival,
+    /// When it is checked next whether its node has been silent for too long.
+    pub check_at: Time,
 }
 
 /// The link chosen for an attempt.
@@ -158,7 +160,7 @@
         let ids = channels.entry(channel.clone()).or_default();
         let links = &mut self.links;
         // A link with unsolicited bytes is not used either: they show as a partial reply.
-        let quiet = |link: &Link<C>| link.partial_until.is_none().then_some(link.idle_since).flatten();
+        let quiet = |link: &Link<C>| link.partial.is_none().then_some(link.idle_since).flatten();
         let rested = |id: &LinkId| quiet(&links[id]).is_some_and(|since| now - since >= rest);
         let idle = ids.iter().copied().filter(rested).max_by_key(|id| links[id].idle_since);
         let cap = self.caps.get(&node).filter(|c| c.until > now).map_or(usize::MAX, |c| c.links);
@@ -177,7 +179,7 @@
                     channel: channel.clone(),
                     in_flight: 1,
                     idle_since: None,
-                    partial_until: None,
+                    partial: None,
                     streamed: None,
                     up: false,
                 };
@@ -235,28 +237,33 @@
         ((self.limits.links_per_node / 2).max(1), (self.limits.links / 2).max(1))
     }
 
-    /// Records the reply that is being streamed on a link, or `None` if no reply is.
-    pub fn set_streaming(&mut self, id: LinkId, reply: Option<StreamedReply>) {
+    /// Records the attempt whose reply is being streamed on a link, or `None` if no reply is.
+    pub fn set_streaming(&mut self, id: LinkId, attempt: Option<AttemptId>) {
         if let Some(link) = self.links.get_mut(&id) {
-            link.streamed = reply;
+            link.streamed = attempt;
         }
     }
 
-    /// Returns the reply that is being streamed on a link, if one is.
-    pub fn streamed_reply(&self, id: LinkId) -> Option<StreamedReply> {
+    /// Returns the attempt whose reply is being streamed on a link, if one is.
+    pub fn streamed_reply(&self, id: LinkId) -> Option<AttemptId> {
         self.links.get(&id).and_then(|link| link.streamed)
     }
 
-    /// Records the time by which the next part of an incomplete reply must arrive, or `None` if no reply is incomplete.
-    pub fn set_partial(&mut self, id: LinkId, at: Option<Time>) {
+    /// Records what has arrived of an incomplete reply, or `None` if the broker waits for no more of one.
+    pub fn set_partial(&mut self, id: LinkId, reply: Option<AwaitedReply>) {
         if let Some(link) = self.links.get_mut(&id) {
-            link.partial_until = at;
+            link.partial = reply;
         }
     }
 
-    /// Returns whether the next part of an incomplete reply on a link has not arrived in time.
-    pub fn is_stalled(&self, now: Time, id: LinkId) -> bool {
-        self.links.get(&id).and_then(|l| l.partial_until).is_some_and(|until| until <= now)
+    /// Returns what has arrived of the incomplete reply on a link, if the broker waits for more of it.
+    pub fn partial(&self, id: LinkId) -> Option<&AwaitedReply> {
+        self.links.get(&id)?.partial.as_ref()
+    }
+
+    /// Returns the node of a link.
+    pub fn node(&self, id: LinkId) -> Option<NodeId> {
+        Some(self.links.get(&id)?.node)
     }
 
     /// Records that the connection of a link is established.
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -7,6 +7,7 @@
 use crate::state::guard::{Denied, Guard};
 use crate::state::planner::{AttemptEnd, AttemptId, AttemptTimes, Input, LinkEnd, Wire};
 use crate::state::pool::LinkId;
+use crate::state::reply_clock::ReplyArrival;
 use crate::wire::clock::LoopClock;
 use crate::wire::socket::{
     connect_failure, is_short_of_memory, is_transient, unread, ConnectFailure, Unread, RETRY_DELAY,
@@ -33,10 +34,16 @@
 /// The node sent a complete reply while no request was outstanding.
 pub const UNSOLICITED_REPLY: ProtocolError = ProtocolError("a reply that nothing asked for");
 
-/// Longest gap within a reply that has begun, in microseconds. Nodes may pause between replies, but not within one.
-pub const REPLY_STALL_TIMEOUT: Time = 300_000;
-/// Least time in microseconds between two progress reports to the planner about one long reply.
-const PROGRESS_REPORT_INTERVAL: Time = 100_000;
+/// What a link waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReplyState {
+    /// Every reply is complete.
+    Complete,
+    /// A reply is incomplete, and the link waits for its node.
+    AwaitsNode,
+    /// A reply is incomplete, and the link reads no more of it before the client has taken what has arrived.
+    AwaitsClient,
+}
 
 /// A future to wait for that borrows nothing from the waiting task.
 pub type Wakeup = Pin<Box<dyn Future<Output = ()>>>;
@@ -111,10 +118,12 @@
     fn wants_read(&self, _unread: usize) -> bool {
         true
     }
-    /// How long to wait for further bytes, in microseconds, while `unread` received bytes are not consumed yet.
-    /// `None` if no reply is incomplete.
-    fn read_timeout(&self, unread: usize) -> Option<Time> {
-        (unread > 0).then_some(REPLY_STALL_TIMEOUT)
+    /// What the link waits for, while `unread` received bytes are not consumed yet.
+    fn reply_state(&self, unread: usize) -> ReplyState {
+        match unread {
+            0 => ReplyState::Complete,
+            _ => ReplyState::AwaitsNode,
+        }
     }
     /// Returns a future that completes when body bytes or space for them become available, or `None` if the
     /// protocol waits for neither.
@@ -323,8 +332,13 @@
     /// link.
     async fn serve_connection(&mut self, stream: TcpStream) -> Option<String> {
         let (received, waiting_bytes) = (self.budget.empty_reservation(), self.budget.empty_reservation());
-        let mut partial =
-            PartialReply { bytes: ReadBuffer::default(), received, waiting: waiting_bytes, reported: None };
+        let mut partial = PartialReply {
+            bytes: ReadBuffer::default(),
+            received,
+            waiting: waiting_bytes,
+            arrival: ReplyArrival::default(),
+            state: ReplyState::Complete,
+        };
         // Whether the other tasks have run since the socket became writable, so that an attempt may begin.
         let mut caught_up = false;
         let mut yields = false;
@@ -349,7 +363,10 @@
                     }
                     match partial.bytes.read(&stream) {
                         Ok(Received { bytes: 0, .. }) => return Some("closed by the node".to_string()),
-                        Ok(Received { drained, .. }) => yields = !drained,
+                        Ok(Received { bytes, drained }) => {
+                            partial.arrival.received(self.loop_clock.now(), bytes);
+                            yields = !drained;
+                        }
                         Err(e) if is_short_of_memory(&e) => {
                             tokio::time::sleep(RETRY_DELAY).await;
                             continue;
@@ -417,6 +434,23 @@
         }
     }
 
+    /// Tells the planner what the link waits for, if that has changed.
+    fn report_state(&self, partial: &mut PartialReply) {
+        let state = self.exchange.reply_state(partial.bytes.len());
+        let before = std::mem::replace(&mut partial.state, state);
+        if state == ReplyState::Complete {
+            partial.arrival.complete();
+        }
+        if state == before {
+            return;
+        }
+        if before == ReplyState::AwaitsClient {
+            partial.arrival.read_again(self.loop_clock.now());
+        }
+        let awaited = (state == ReplyState::AwaitsNode).then(|| partial.arrival.clone());
+        let _ = self.planner.send(Input::PartialReply(self.id, awaited));
+    }
+
     /// Passes the received bytes to the protocol, and reports the results to the planner.
     fn receive(&mut self, partial: &mut PartialReply) -> Result<(), String> {
         let mut ended = Vec::new();
@@ -439,14 +473,7 @@
                 }
             }
         }
-        let (now, timeout) = (self.loop_clock.now(), self.exchange.read_timeout(partial.bytes.len()));
-        let reported = partial.reported.map(|(timeout, _)| timeout);
-        let recently = partial.reported.is_some_and(|(_, at)| now - at < PROGRESS_REPORT_INTERVAL);
-        // Each part of a short reply is reported; for a long reply, reports are limited in rate.
-        if reported != timeout || (timeout.is_some() && !(recently && timeout > Some(REPLY_STALL_TIMEOUT))) {
-            partial.reported = timeout.map(|timeout| (timeout, now));
-            let _ = self.planner.send(Input::PartialReply(self.id, timeout));
-        }
+        self.report_state(partial);
         partial.bytes.shrink();
         if !partial.received.resize(partial.bytes.memory().saturating_sub(UNCHARGED)) {
             tracing::warn!(address = self.address, "no buffer budget left for a reply");
@@ -456,13 +483,15 @@
     }
 }
 
-/// The bytes of an incomplete reply.
+/// An incomplete reply.
 struct PartialReply {
     bytes: ReadBuffer,
     /// Budget reserved for the received bytes.
     received: Reservation,
     /// Budget charged for the bytes that wait to be written to the node.
     waiting: Reservation,
-    /// The read timeout last reported to the planner, and when it was reported.
-    reported: Option<(Time, Time)>,
+    /// What has arrived of it, shared with the planner.
+    arrival: ReplyArrival,
+    /// What the link waited for when it last reported to the planner.
+    state: ReplyState,
 }
--- a/src/wire/resp/client.rs
+++ b/src/wire/resp/client.rs
@@ -6,13 +6,11 @@
 use crate::state::pipe::{pipe, PipeWriter, Progress};
 use crate::state::planner::{AttemptEnd, AttemptId};
 use crate::wire::link::{
-    either, ending_after_loss, Ended, Exchange, ReplyProgress, Wakeup, REPLY_STALL_TIMEOUT, UNSOLICITED_REPLY,
+    either, ending_after_loss, Ended, Exchange, ReplyProgress, ReplyState, Wakeup, UNSOLICITED_REPLY,
 };
 use bytes::Buf;
 use std::collections::VecDeque;
 
-/// How long a streamed reply may make no progress while its client keeps reading, in microseconds.
-const STREAM_STALL_TIMEOUT: Time = 5_000_000;
 /// End position of a request whose body is still being received from the client.
 const END_UNKNOWN: u64 = u64::MAX;
 
@@ -199,10 +197,12 @@
         self.streamed.as_ref().is_none_or(|p| p.left <= unread || p.writer.space() > unread)
     }
 
-    fn read_timeout(&self, unread: usize) -> Option<Time> {
+    fn reply_state(&self, unread: usize) -> ReplyState {
         match &self.streamed {
-            Some(_) => self.wants_read(unread).then_some(STREAM_STALL_TIMEOUT),
-            None => (unread > 0).then_some(REPLY_STALL_TIMEOUT),
+            Some(_) if self.wants_read(unread) => ReplyState::AwaitsNode,
+            Some(_) => ReplyState::AwaitsClient,
+            None if unread > 0 => ReplyState::AwaitsNode,
+            None => ReplyState::Complete,
         }
     }
 
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -7,6 +7,7 @@
     Answer, AttemptEnd, AttemptId, ClientRequest, Effect, Input, ListedNode, Planner, Wire,
 };
 use claywinch::state::pool::{LinkId, LinkSettings, PoolLimits};
+use claywinch::state::reply_clock::{ReplyArrival, NODE_SILENCE};
 use common::{ask, entry, settings, Ask, Drive};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 
@@ -166,23 +167,45 @@
     assert_eq!(b.planner.load(), (0, 0, 0));
 }
 
-/// Guards against waiting until the deadline for the rest of a reply that stopped short: the read goes again.
+/// Guards against waiting until the deadline for the rest of a reply whose node says nothing more: the read goes again.
 #[test]
-fn a_reply_that_stops_short_is_a_reset_soon_and_one_that_goes_on_is_not() {
+fn a_reply_that_stops_short_is_a_reset_after_its_nodes_silence() {
     let mut b = Bench::new(4);
-    let input = b.request(ask(1));
+    let input = b.request(Ask { due: b.now + 4_000_000, ..ask(1) });
     b.turn(0, vec![input]);
-    assert!(closed(&b.turn(50_000, vec![Input::LinkUp(0), Input::PartialReply(0, Some(300_000))])).is_empty());
-    assert!(closed(&b.turn(200_000, vec![Input::PartialReply(0, Some(300_000))])).is_empty());
-    assert!(closed(&b.turn(200_000, vec![])).is_empty(), "more of it came meanwhile");
-    let effects = b.turn(200_000, vec![]);
+    let arrival = ReplyArrival::default();
+    b.now += 50_000;
+    arrival.received(b.now, 10);
+    let begun = vec![Input::LinkUp(0), Input::PartialReply(0, Some(arrival.clone()))];
+    assert!(closed(&b.turn(0, begun)).is_empty());
+    assert!(closed(&b.turn(NODE_SILENCE - 300_000, vec![])).is_empty());
+    arrival.received(b.now, 10);
+    assert!(closed(&b.turn(NODE_SILENCE - 1, vec![])).is_empty(), "more of it came meanwhile");
+    let effects = b.turn(1, vec![]);
     assert_eq!((closed(&effects), sent(&effects)), (vec![0], vec![(1, (1, 1))]));
-    let whole = vec![Input::LinkUp(1), Input::PartialReply(1, Some(300_000)), Input::PartialReply(1, None)];
+    arrival.received(b.now, 10);
+    let whole = vec![Input::LinkUp(1), Input::PartialReply(1, Some(arrival)), Input::PartialReply(1, None)];
     b.turn(1_000, whole);
-    assert!(closed(&b.turn(900_000, vec![])).is_empty(), "nothing is left of a reply on it");
+    assert!(closed(&b.turn(200_000, vec![])).is_empty(), "nothing is left of a reply on it");
     assert_eq!(b.planner.take_counts().endings[Ending::Reset as usize], 1);
 }
 
+/// Guards against an attempt that outlives its client's time since its reply comes in parts, and against one that ends before.
+#[test]
+fn a_reply_in_parts_has_its_clients_time_and_no_more() {
+    let mut b = Bench::new(4);
+    let input = b.request(ask(1));
+    b.turn(0, vec![input]);
+    let arrival = ReplyArrival::default();
+    for part in 0..4 {
+        arrival.received(b.now, 1);
+        let reply = Input::PartialReply(0, Some(arrival.clone()));
+        assert!(closed(&b.turn(499_999, vec![reply])).is_empty(), "part {part}");
+    }
+    assert_eq!(closed(&b.turn(4, vec![])), [0]);
+    assert!(matches!(b.answered()[..], [(1, Answer::Refused(_))]));
+}
+
 /// Guards against keeping what is long gone: nodes that come and go under new names leave nothing behind.
 #[test]
 fn nodes_that_come_and_go_are_forgotten() {
