Answer in its time a long value that others stand behind on a connection

Callers saw: of several commands sent at once, a long value whose node pauses came as a whole long after its client's time (1.60 s with a wait of 0.5 s), and with it all answers behind it.

Cause: such a value is collected before it is passed on, since its breaking off would end the connection under those behind it.

Change: WithheldClock in state/reply_clock.rs. A value that is withheld fails (-ERR failed) 0.3 s after its client's time, or after its turn where answers ahead of it took longer: that time does not count. After SIGTERM it ends with the last answers. Rejected: to begin passing it on then. Its node may fall silent for good, and the requests behind it would be lost with the connection.

--- a/src/state/reply_clock.rs
+++ b/src/state/reply_clock.rs
@@ -9,12 +9,14 @@
 //! A client of which the answer has begun to arrive waits as long as its node goes on. How long it may leave bytes unread is up
 //! to [`Activity`](super::activity::Activity).
 
-use crate::interface::Time;
+use crate::interface::{RequestId, Time};
 use std::cell::Cell;
 use std::rc::Rc;
 
 /// How long a node may send nothing inside an answer, in microseconds.
 pub const NODE_SILENCE: Time = 2_000_000;
+/// How long after its client's time an answer may still come, in microseconds. Half a second after it the request is lost.
+const LATE_ANSWER: Time = 300_000;
 
 /// Why an answer that has begun ended before it was whole.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -69,5 +71,35 @@
     }
 }
 
+/// An answer that its client gets only whole, since others stand behind it on the same connection, and whose turn it is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WithheldReply {
+    /// Its request.
+    pub id: RequestId,
+    /// When its client gives up.
+    pub due: Time,
+}
+
+/// The clock of the withheld answers of one connection.
+#[derive(Debug, Default)]
+pub struct WithheldClock {
+    /// The answer whose turn it is, and since when.
+    first: Option<(RequestId, Time)>,
+}
+
+impl WithheldClock {
+    /// Returns when the answer whose turn it is ends unless it is whole before, if there is one. The time that it waited for
+    /// the answers ahead of it does not count.
+    pub fn ends_at(&mut self, now: Time, reply: Option<WithheldReply>) -> Option<Time> {
+        let Some(reply) = reply else {
+            self.first = None;
+            return None;
+        };
+        let since = self.first.filter(|(id, _)| *id == reply.id).map_or(now, |(_, since)| since);
+        self.first = Some((reply.id, since));
+        Some(reply.due.max(since) + LATE_ANSWER)
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/state/reply_clock/tests.rs
+++ b/src/state/reply_clock/tests.rs
@@ -31,3 +31,16 @@
     progress.received(2_000, 3);
     assert_eq!(progress.arrived().bytes, 3);
 }
+
+/// Guards against an answer that is held back without an end, and against one that ends for the time of those ahead of it.
+#[test]
+fn a_withheld_answer_has_its_clients_time_from_its_turn_on() {
+    let mut clock = WithheldClock::default();
+    let reply = |id, due| Some(WithheldReply { id, due });
+    assert_eq!(clock.ends_at(100, reply(1, 500_000)), Some(500_000 + LATE_ANSWER));
+    assert_eq!(clock.ends_at(600_000, reply(1, 500_000)), Some(500_000 + LATE_ANSWER));
+    assert_eq!(clock.ends_at(900_000, reply(2, 500_000)), Some(900_000 + LATE_ANSWER));
+    assert_eq!(clock.ends_at(950_000, reply(2, 500_000)), Some(900_000 + LATE_ANSWER));
+    assert_eq!(clock.ends_at(960_000, None), None);
+    const { assert!(LATE_ANSWER < 500_000) };
+}
--- a/src/wire/resp/server.rs
+++ b/src/wire/resp/server.rs
@@ -1,18 +1,21 @@
 //! The server side of RESP2: a session with one client.
 
+mod answers;
+
 use super::*;
 use crate::interface::{Arrival, Class, RequestId};
 use crate::state::body_clock::IncompleteBody;
 use crate::state::buffer_budget::{BufferBudget, Reservation};
-use crate::state::byte_queue::ByteQueue;
 use crate::state::phase::Phase;
 use crate::state::pipe::{self, PipeWriter, Progress};
 use crate::state::planner::Answer;
 use crate::state::recent_ids::RecentIds;
+use crate::state::reply_clock::WithheldReply;
 use crate::state::stable_index::Indexed;
 use crate::wire::link::{either, Wakeup};
 use crate::wire::read_buffer::READ_SIZE;
 use crate::wire::session::{RequestIds, Session};
+use answers::*;
 use bytes::Buf;
 use std::cell::RefCell;
 use std::collections::{BTreeSet, VecDeque};
@@ -21,8 +24,6 @@
 
 /// Commands of one client that may wait for their answers at the same time.
 const MAX_SLOTS: usize = 256;
-/// Bytes of a streamed value that may wait in the outbox.
-const MAX_STREAMED_AHEAD: u64 = 32 * 1024;
 /// Bytes of request bodies that one client may have open at the same time.
 const MAX_HELD: usize = 1 << 20;
 /// Memory charged for a request in addition to its body, in bytes: its arguments and its state in the planner and the
@@ -30,8 +31,6 @@
 const REQUEST_BYTES: usize = 2 * 1024;
 /// Memory of a connection's buffers that is not charged to the buffer budget, in bytes.
 pub const UNCHARGED: usize = 16 * 1024;
-/// Memory charged for a value that waits to be written, in addition to its bytes.
-const VALUE_OVERHEAD: usize = 256;
 /// Entries for which an empty queue of answers keeps its memory.
 const KEPT_SLOTS: usize = 16;
 /// How long the id of a request is refused that may have run and whose client has left, in microseconds. No request has a longer
@@ -119,16 +118,6 @@
     }
 }
 
-/// A request that has not been answered yet.
-struct Unanswered {
-    /// The class as of when the request was accepted. Holding it keeps the class's index from being reused.
-    _class: Rc<Indexed<ClassSchema>>,
-    number: RequestId,
-    id: Box<[u8]>,
-    /// Bytes charged for the command's words, the body among them.
-    held: usize,
-}
-
 /// The result of parsing one command.
 enum Parsed {
     Request(Unanswered),
@@ -137,79 +126,6 @@
     Quit,
 }
 
-/// An entry in the queue of answers, which is kept in the order of the commands.
-enum Slot {
-    Unanswered(Unanswered),
-    /// An answer that needs no node.
-    Line(&'static [u8]),
-    /// A refusal, with the advised delay before the retry in microseconds.
-    RefusedFor(Time),
-    /// A value that was received completely.
-    Value(Bytes),
-    /// A value that is streamed to the client while it arrives from the node, and its length until its header is written.
-    Streamed(PipeReader, Option<usize>),
-    /// A value that is collected completely before it is written, because other answers are queued behind it: if a streamed
-    /// value broke off, the connection would have to be closed and those answers would be lost.
-    Buffering(Box<Buffering>),
-}
-
-impl Slot {
-    /// Returns the memory of the answer that is or will be collected here, in bytes.
-    fn memory(&self) -> usize {
-        match self {
-            Slot::Value(value) => value.len() + VALUE_OVERHEAD,
-            Slot::Buffering(buffering) => Buffering::memory(buffering.length),
-            Slot::Unanswered(_) | Slot::Line(_) | Slot::RefusedFor(_) | Slot::Streamed(..) => 0,
-        }
-    }
-}
-
-/// A long value that is being collected.
-struct Buffering {
-    reader: PipeReader,
-    length: usize,
-    collected: ByteQueue,
-}
-
-impl Buffering {
-    /// Returns the memory of a value of this length when it is collected, in bytes.
-    fn memory(length: usize) -> usize {
-        length + length / 16 + VALUE_OVERHEAD
-    }
-
-    /// Collects the bytes that have arrived, and writes the answer once the value is complete or has broken off. Returns
-    /// whether it was written.
-    fn write_complete(&mut self, outbox: &mut Outbox) -> bool {
-        while let Some(bytes) = self.reader.take() {
-            self.collected.push(bytes);
-        }
-        match self.reader.progress() {
-            Progress::Ongoing => return false,
-            Progress::Broken => outbox.push(FAILED),
-            Progress::Complete => {
-                outbox.push(value_head(self.length));
-                while let Some(chunk) = self.collected.pop() {
-                    outbox.push(chunk);
-                }
-                outbox.push(LINE_END);
-            }
-        }
-        true
-    }
-}
-
-/// Returns the header line of a bulk string.
-fn value_head(length: usize) -> Bytes {
-    format!("${length}\r\n").into()
-}
-
-/// The answer to a request that was not sent to any node: the client may safely retry it.
-const BUSY: &[u8] = b"-BUSY\r\n";
-/// The end of a line or a value.
-const LINE_END: &[u8] = b"\r\n";
-/// The answer to a request that failed.
-const FAILED: &[u8] = b"-ERR failed\r\n";
-
 /// A long request body that is being received from the client.
 struct Upload {
     /// Receives the body. `None` if the request was rejected or has been answered; the rest is then discarded.
@@ -321,7 +237,8 @@
         let (mut arrival, deadline, class) = self.arrival(now, &list, put)?;
         arrival.key = Some(String::from_utf8_lossy(&piece).into_owned());
         // The id is copied, so that the set of open ids does not keep the read buffer allocated.
-        let owed = Unanswered { _class: class, number: arrival.id, id: id.as_ref().into(), held };
+        let owed =
+            Unanswered { _class: class, number: arrival.id, id: id.as_ref().into(), held, due: arrival.due };
         if self.shared.open.borrow().contains(&owed.id) {
             return Err(b"-ERR id of a request that is open\r\n");
         }
@@ -446,11 +363,21 @@
         }
         if let Some((writer, (id, wait))) = upload.writer.zip(upload.request) {
             writer.finish();
+            self.set_due(id, now + wait);
             self.complete_uploads.push_back((id, now + wait));
         }
         true
     }
 
+    /// Sets when the client of a request gives up.
+    fn set_due(&mut self, number: RequestId, due: Time) {
+        let owed = |slot: &mut Slot| match slot {
+            Slot::Unanswered(owed) if owed.number == number => owed.due = due,
+            _ => {}
+        };
+        self.slots.iter_mut().for_each(owed);
+    }
+
     fn push_parsed(&mut self, parsed: Result<Parsed, ErrorLine>) {
         match parsed {
             Ok(Parsed::Request(owed)) => {
@@ -483,23 +410,17 @@
                     self.outbox.push(std::mem::take(value));
                     self.outbox.push(LINE_END);
                 }
-                Some(Slot::Streamed(reader, head)) => {
-                    if let Some(length) = head.take() {
-                        self.outbox.push(value_head(length));
-                    }
-                    while self.outbox.len() < MAX_STREAMED_AHEAD {
-                        let Some(bytes) = reader.take() else { break };
-                        self.outbox.push(bytes);
-                    }
-                    match reader.progress() {
-                        Progress::Ongoing => break,
-                        Progress::Complete => self.outbox.push(LINE_END),
-                        Progress::Broken => {
-                            (self.broken, self.ending) = (true, true);
-                            break;
+                Some(Slot::Streamed(streamed)) => match streamed.pass_on(&mut self.outbox) {
+                    Progress::Ongoing => break,
+                    Progress::Complete => {}
+                    Progress::Broken => {
+                        if !self.broken {
+                            streamed.log_end();
                         }
+                        (self.broken, self.ending) = (true, true);
+                        break;
                     }
-                }
+                },
                 Some(Slot::Buffering(buffering)) => {
                     if !buffering.write_complete(&mut self.outbox) {
                         break;
@@ -614,13 +535,17 @@
         let owed = |slot: &Slot| matches!(slot, Slot::Unanswered(owed) if owed.number == number);
         let Some(place) = self.slots.iter().position(owed) else { return self.flush() };
         let stands_alone = place + 1 == self.slots.len();
+        let Slot::Unanswered(owed) = &self.slots[place] else { return self.flush() };
+        let label = owed.label();
         let slot = match answer {
             Answer::Served(Reply::Streamed(reader, length))
                 if !stands_alone && self.reserve_answer(Buffering::memory(length)) =>
             {
-                Slot::Buffering(Box::new(Buffering { reader, length, collected: ByteQueue::default() }))
+                Slot::Buffering(Box::new(Buffering::new(label, reader, length)))
+            }
+            Answer::Served(Reply::Streamed(reader, length)) => {
+                Slot::Streamed(Box::new(Streamed::new(label, reader, length)))
             }
-            Answer::Served(Reply::Streamed(reader, length)) => Slot::Streamed(reader, Some(length)),
             Answer::Served(Reply::Buffered(value)) if self.reserve_answer(value.len() + VALUE_OVERHEAD) => {
                 Slot::Value(value)
             }
@@ -656,6 +581,21 @@
         }
     }
 
+    fn withheld_reply(&self) -> Option<WithheldReply> {
+        match self.slots.front()? {
+            Slot::Buffering(buffering) => Some(buffering.withheld()),
+            _ => None,
+        }
+    }
+
+    fn end_withheld_reply(&mut self) {
+        if let Some(Slot::Buffering(buffering)) = self.slots.front() {
+            buffering.log_end();
+            self.slots[0] = Slot::Line(FAILED);
+        }
+        self.flush();
+    }
+
     fn unanswered(&self) -> Vec<RequestId> {
         let owed = |slot: &Slot| if let Slot::Unanswered(owed) = slot { Some(owed.number) } else { None };
         self.slots.iter().filter_map(owed).collect()
@@ -667,8 +607,8 @@
 
     fn wakeup(&self) -> Option<Wakeup> {
         let put = match self.slots.front() {
-            Some(Slot::Streamed(reader, _)) if self.outbox.len() < MAX_STREAMED_AHEAD => {
-                Some(reader.wait_for_bytes())
+            Some(Slot::Streamed(streamed)) if self.outbox.len() < MAX_STREAMED_AHEAD => {
+                Some(streamed.reader.wait_for_bytes())
             }
             Some(Slot::Buffering(buffering)) => Some(buffering.reader.wait_for_bytes()),
             _ => None,
--- a/src/wire/session.rs
+++ b/src/wire/session.rs
@@ -12,6 +12,7 @@
 use crate::state::guard::{CloseReason, Guard};
 use crate::state::phase::Phase;
 use crate::state::planner::{Answer, AnswerSender, ClientRequest, Input, Wire};
+use crate::state::reply_clock::{WithheldClock, WithheldReply};
 use crate::wire::clock::LoopClock;
 use crate::wire::socket::{is_short_of_memory, is_transient, unread, Unread, RETRY_DELAY};
 use bytes::BytesMut;
@@ -88,6 +89,12 @@
     fn is_streaming(&self) -> bool {
         false
     }
+    /// Returns the answer whose turn it is and of which the client gets nothing before it is whole, if there is one.
+    fn withheld_reply(&self) -> Option<WithheldReply> {
+        None
+    }
+    /// Gives up the answer that [`Session::withheld_reply`] returns: its client is told that the request failed.
+    fn end_withheld_reply(&mut self) {}
     /// Whether a streamed answer broke off. The connection must then be closed, so that the client sees that the answer is
     /// incomplete.
     fn is_stream_broken(&self) -> bool {
@@ -189,6 +196,7 @@
     let mut read = ReadBuffer::default();
     let mut activity = Activity::new(loop_clock.now());
     let mut body_clock = BodyClock::new(loop_clock.now());
+    let mut withheld_clock = WithheldClock::default();
     let mut yields = false;
     // Whether data was read ahead while no request was accepted.
     let mut has_unparsed = false;
@@ -228,6 +236,13 @@
                 None => {}
             }
         }
+        let current_phase = *phase.borrow();
+        let reply_ends = withheld_clock.ends_at(now, session.withheld_reply());
+        let reply_ends = reply_ends.map(|at| at.min(current_phase.last_answer_at().unwrap_or(at)));
+        if reply_ends.is_some_and(|at| at <= now) {
+            session.end_withheld_reply();
+            continue;
+        }
         let incomplete_body = session.incomplete_body();
         let receives_body = incomplete_body.is_some();
         if !receives_body {
@@ -241,7 +256,6 @@
         let is_over = |at: Option<Time>| at.is_some_and(|at| at <= now);
         let over = is_over(deadline);
         // A partly received command keeps the connection open: its last byte may be in transit.
-        let current_phase = *phase.borrow();
         let closes = admission.closes_at(current_phase, activity.last_use(), activity.is_used());
         let closes = closes.filter(|_| idle && !activity.has_partial_command());
         // So do commands that a client sent as a batch and that have not arrived yet. Where all requests are refused, the missing
@@ -313,7 +327,8 @@
             body_clock.not_read(now);
         }
         let body_examined = incomplete_body.map(|body| body_clock.examine_at(body));
-        let wakes = [deadline, closes, ends, stops_reading, batch, body_examined].into_iter().flatten();
+        let wakes = [deadline, closes, ends, stops_reading, batch, body_examined, reply_ends];
+        let wakes = wakes.into_iter().flatten();
         slot.set_deadline(wakes.filter(|at| *at > now).min());
         if !reads {
             not_read_since = not_read_since.or(Some(now));
--- a/tests/paused_answers.rs
+++ b/tests/paused_answers.rs
@@ -2,9 +2,14 @@
 
 mod common;
 
+use common::net::connect;
 use common::paused_node::*;
 use common::site::site;
-use std::time::Duration;
+use std::io::Write;
+use std::time::{Duration, Instant};
+
+/// An answer whose first byte comes later than this after its time counts as lost; every time limit is 50 ms longer.
+const LOST_AFTER: Duration = Duration::from_millis(550);
 
 /// Guards against a long value that is cut off while its node pauses across the end of its client's time.
 #[test]
@@ -27,3 +32,23 @@
     assert_eq!(came.kind, Kind::Whole, "{came:?}");
     assert_eq!(seen.lock().expect("what was seen").attempts["short"], 1);
 }
+
+/// Guards against a value that is held back until it is whole, long past its client's time, since others stand behind it.
+#[test]
+fn a_long_value_before_other_answers_is_not_held_back_past_its_time() {
+    let (_seen, node) = paused_node();
+    let site = site("held-back", &node);
+    let wait = Duration::from_millis(500);
+    let pause = Some(Duration::from_millis(800));
+    let long = Answering { length: 200_000, place: Place::AfterFirstPart, pause };
+    let short = Answering { length: 5, place: Place::AfterHead, pause: Some(Duration::ZERO) };
+    let mut client = connect(&site.broker.listen);
+    let commands = [read_command(long, "long", wait), read_command(short, "short", wait)];
+    client.write_all(commands.concat().as_bytes()).expect("asks");
+    let sent = Instant::now();
+    let first = receive(&mut client, sent, "long");
+    assert!(first.first.expect("an answer") < wait + LOST_AFTER, "{first:?}");
+    let second = receive(&mut client, sent, "short");
+    assert_eq!(second.kind, Kind::Whole, "{second:?}");
+    assert!(second.ended < wait + LOST_AFTER, "{second:?}");
+}
