End a long value for its client where the value itself ends

Callers saw: a long value of which all had come was without its last two bytes, and its connection was ended after 2 s, where the node paused before the figures on use behind it.

Cause: the end of the value was passed on once the whole reply was there.

Change: the value is complete at its own line end; the link is busy until the items behind it have come, and their silence ends the link alone.

--- a/src/wire/resp.rs
+++ b/src/wire/resp.rs
@@ -24,6 +24,8 @@
 pub const MAX_BUFFERED_VALUE: usize = 64 * 1024;
 /// Longest value that a client may send or a node may serve, in bytes.
 pub const MAX_VALUE: usize = 4 * 1024 * 1024;
+/// The end of a line or a value.
+const LINE_END: &[u8] = b"\r\n";
 /// Longest line, in bytes.
 const MAX_LINE: usize = 4 * 1024;
 /// Largest number of values in an array; no command or reply has more.
@@ -157,10 +159,20 @@
     Some((items as usize, value))
 }
 
-/// Parses and removes what follows a long value in a reply: the line end and `items` further values.
+/// Removes the line end behind a long value. Returns false while it has not arrived.
+pub fn decode_line_end(read: &mut BytesMut) -> Result<bool, ProtocolError> {
+    if read.len() < LINE_END.len() {
+        return Ok(false);
+    }
+    match read.split_to(LINE_END.len()) == LINE_END {
+        true => Ok(true),
+        false => Err(ProtocolError("not RESP2")),
+    }
+}
+
+/// Parses and removes what follows a long value and its line end in a reply: `items` further values.
 pub fn decode_rest(items: usize, read: &mut BytesMut) -> Result<Option<Value>, ProtocolError> {
     take_complete(MAX_LINE, read, |input| {
-        "\r\n".parse_next(input)?;
         let rest = (0..items).map(|_| value(MAX_LINE, 1, input)).collect::<ModalResult<_>>()?;
         Ok(ParsedValue::Array(Some(rest)))
     })
--- a/src/wire/resp/client.rs
+++ b/src/wire/resp/client.rs
@@ -32,7 +32,8 @@
 /// A long reply that is being received.
 #[derive(Debug)]
 struct StreamedReply {
-    writer: PipeWriter,
+    /// Receives the value. `None` once all of it has arrived and only the items behind it are missing.
+    writer: Option<PipeWriter>,
     /// Bytes of the value still to be received.
     left: usize,
     /// Number of items that follow the value in the reply.
@@ -86,20 +87,25 @@
     /// Moves received bytes of a long reply into its window. Returns true when the reply is complete.
     fn receive_streamed(&mut self, read: &mut BytesMut) -> Result<bool, ProtocolError> {
         let Some(streamed) = &mut self.streamed else { return Ok(false) };
-        if streamed.writer.is_abandoned() {
-            // The client is gone. The connection cannot carry another reply before the rest of this one has been received.
-            return Err(ProtocolError("the client no longer reads the reply"));
+        if let Some(writer) = &streamed.writer {
+            if writer.is_abandoned() {
+                // The client is gone. The connection cannot carry another reply before the rest of this one has been received.
+                return Err(ProtocolError("the client no longer reads the reply"));
+            }
+            let n = streamed.left.min(read.len()).min(writer.space());
+            writer.put_copy(&read[..n]);
+            read.advance(n);
+            streamed.left -= n;
+            if streamed.left > 0 || !decode_line_end(read)? {
+                return Ok(false);
+            }
+            // The client does not wait for the items behind the value.
+            streamed.writer.take().into_iter().for_each(PipeWriter::finish);
         }
-        let n = streamed.left.min(read.len()).min(streamed.writer.space());
-        streamed.writer.put_copy(&read[..n]);
-        read.advance(n);
-        streamed.left -= n;
-        if streamed.left > 0 || decode_rest(streamed.items, read)?.is_none() {
+        if decode_rest(streamed.items, read)?.is_none() {
             return Ok(false);
         }
-        if let Some(streamed) = self.streamed.take() {
-            streamed.writer.finish();
-        }
+        self.streamed = None;
         Ok(true)
     }
 }
@@ -138,7 +144,7 @@
                     return Err(ProtocolError("reply received before the request was sent completely"));
                 }
                 let (writer, reader) = pipe(&self.budget, MAX_VALUE);
-                self.streamed = Some(StreamedReply { writer, left, items: items - 1 });
+                self.streamed = Some(StreamedReply { writer: Some(writer), left, items: items - 1 });
                 let reply = Some(Reply::Streamed(reader, left));
                 self.flow = Some(ReplyProgress::Begun(
                     tag,
@@ -194,7 +200,8 @@
     }
 
     fn wants_read(&self, unread: usize) -> bool {
-        self.streamed.as_ref().is_none_or(|p| p.left <= unread || p.writer.space() > unread)
+        let reads = |writer: &PipeWriter, left: usize| left <= unread || writer.space() > unread;
+        self.streamed.as_ref().is_none_or(|p| p.writer.as_ref().is_none_or(|w| reads(w, p.left)))
     }
 
     fn reply_state(&self, unread: usize) -> ReplyState {
@@ -212,7 +219,7 @@
             .as_ref()
             .filter(|reader| self.outbox.len() < reader.read_ahead() as u64)
             .map(PipeReader::wait_for_bytes);
-        let taken = self.streamed.as_ref().map(|p| p.writer.wait_for_space());
+        let taken = self.streamed.as_ref().and_then(|p| p.writer.as_ref()).map(PipeWriter::wait_for_space);
         either(put, taken)
     }
 
--- a/src/wire/resp/server/answers.rs
+++ b/src/wire/resp/server/answers.rs
@@ -1,6 +1,6 @@
 //! The queue of answers of one client: what stands in it, and how values that arrive from nodes go through it.
 
-use super::{ClassSchema, Outbox, PipeReader};
+use super::{ClassSchema, Outbox, PipeReader, LINE_END};
 use crate::interface::{RequestId, Time};
 use crate::state::byte_queue::ByteQueue;
 use crate::state::pipe::Progress;
@@ -15,8 +15,6 @@
 pub(super) const VALUE_OVERHEAD: usize = 256;
 /// The answer to a request that was not sent to any node: the client may safely retry it.
 pub(super) const BUSY: &[u8] = b"-BUSY\r\n";
-/// The end of a line or a value.
-pub(super) const LINE_END: &[u8] = b"\r\n";
 /// The answer to a request that failed.
 pub(super) const FAILED: &[u8] = b"-ERR failed\r\n";
 
--- a/tests/common/paused_node.rs
+++ b/tests/common/paused_node.rs
@@ -73,7 +73,7 @@
         let reply = [&head[..], &value, b"\r\n$-1\r\n$-1\r\n"].concat();
         let (start, end) = (head.len(), head.len() + value.len());
         let first = start + FIRST_PART.min(self.length / 2);
-        let cuts = match self.place {
+        let mut cuts = match self.place {
             Place::InsideHead => vec![start - 3],
             Place::AfterHead => vec![start],
             Place::AfterFirstPart => vec![first, (first + end) / 2],
@@ -81,6 +81,7 @@
             Place::BeforeLastByte => vec![end - 1],
             Place::BeforeFigures => vec![end + 2],
         };
+        cuts.dedup();
         let bounds: Vec<usize> = [0].into_iter().chain(cuts).chain([reply.len()]).collect();
         bounds.windows(2).map(|pair| reply[pair[0]..pair[1]].to_vec()).collect()
     }
@@ -99,8 +100,8 @@
 /// What a node has seen.
 #[derive(Debug, Default)]
 pub struct Seen {
-    /// Attempts by the id of their request.
-    pub attempts: BTreeMap<String, usize>,
+    /// When attempts came, by the id of their request.
+    pub attempts: BTreeMap<String, Vec<Instant>>,
 }
 
 /// Starts a node that pauses inside its answers.
@@ -125,7 +126,7 @@
         let words = (0..count).map(|_| bulk(&mut stream)).collect::<std::io::Result<Vec<Vec<u8>>>>()?;
         let word = |place: usize| String::from_utf8_lossy(&words[place]).into_owned();
         let id = word(2);
-        *seen.lock().expect("what was seen").attempts.entry(id.clone()).or_default() += 1;
+        seen.lock().expect("what was seen").attempts.entry(id.clone()).or_default().push(Instant::now());
         let Some(answering) = Answering::of_key(&word(1)) else { return Ok(()) };
         for (place, part) in answering.parts(&id).into_iter().enumerate() {
             if place > 0 {
@@ -142,10 +143,10 @@
 /// How an answer came to its client; times count from the last byte of the request.
 #[derive(Debug)]
 pub struct Came {
+    /// When the last byte of the request was written.
+    pub sent: Instant,
     /// When its first byte came.
     pub first: Option<Duration>,
-    /// The longest time without a byte behind the first one.
-    pub longest_gap: Duration,
     /// When it was whole, or the connection ended.
     pub ended: Duration,
     /// Bytes of it.
@@ -178,7 +179,7 @@
 pub fn receive(stream: &mut TcpStream, sent: Instant, id: &str) -> Came {
     stream.set_read_timeout(Some(CLIENT_PATIENCE)).expect("a time-out");
     let mut read: Vec<u8> = Vec::new();
-    let (mut first, mut longest_gap, mut last) = (None, Duration::ZERO, sent);
+    let mut first = None;
     let kind = loop {
         let mut byte = [0; 16 * 1024];
         let length = missing(&read);
@@ -186,16 +187,12 @@
             Ok(0) | Err(_) => break Kind::Cut,
             Ok(count) => read.extend_from_slice(&byte[..count]),
         }
-        match first {
-            None => first = Some(sent.elapsed()),
-            Some(_) => longest_gap = longest_gap.max(last.elapsed()),
-        }
-        last = Instant::now();
+        first.get_or_insert_with(|| sent.elapsed());
         if missing(&read) == 0 {
             break kind(&read, id);
         }
     };
-    Came { first, longest_gap, ended: sent.elapsed(), bytes: read.len(), kind }
+    Came { sent, first, ended: sent.elapsed(), bytes: read.len(), kind }
 }
 
 /// How many bytes of an answer are known to be missing; none if it is whole.
--- a/tests/paused_answers.rs
+++ b/tests/paused_answers.rs
@@ -6,6 +6,8 @@
 use common::paused_node::*;
 use common::site::site;
 use std::io::Write;
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
+use std::thread;
 use std::time::{Duration, Instant};
 
 /// An answer whose first byte comes later than this after its time counts as lost; every time limit is 50 ms longer.
@@ -30,7 +32,7 @@
     let answering = Answering { length: 30_000, place: Place::Even, pause: Some(Duration::from_millis(400)) };
     let came = ask(&site.broker.listen, answering, "short", Duration::from_millis(3_000));
     assert_eq!(came.kind, Kind::Whole, "{came:?}");
-    assert_eq!(seen.lock().expect("what was seen").attempts["short"], 1);
+    assert_eq!(seen.lock().expect("what was seen").attempts["short"].len(), 1);
 }
 
 /// Guards against a value that is held back until it is whole, long past its client's time, since others stand behind it.
@@ -52,3 +54,151 @@
     assert_eq!(second.kind, Kind::Whole, "{second:?}");
     assert!(second.ended < wait + LOST_AFTER, "{second:?}");
 }
+
+/// How many answers of a sweep are under way at once.
+const AT_ONCE: usize = 6;
+/// The longest time that any limit in `src/state/reply_clock.rs` may be exceeded by on a busy machine.
+const SLACK: Duration = Duration::from_millis(400);
+/// How long a node may say nothing inside an answer: what is held back for so long counts as lost.
+const NODE_SILENCE: Duration = Duration::from_secs(2);
+
+/// The longest value that goes to its client only whole, in bytes.
+const MAX_BUFFERED: usize = 64 * 1024;
+
+/// Longer than any client waits.
+const FOR_EVER: Duration = Duration::from_secs(3_600);
+
+/// A read and how long its client waits.
+#[derive(Debug, Clone, Copy)]
+struct Case {
+    answering: Answering,
+    wait: Duration,
+}
+
+/// All cases of these sizes and pauses at all places. Clients wait for 0.5 s, so that pauses lie across their time, or 3.6 s.
+fn cases(lengths: &[usize], pauses: &[Option<u64>], waits: &[u64]) -> Vec<Case> {
+    let mut cases = Vec::new();
+    for (length, place) in lengths.iter().flat_map(|length| PLACES.map(|place| (*length, place))) {
+        for (pause, wait) in pauses.iter().flat_map(|pause| waits.iter().map(move |wait| (*pause, *wait))) {
+            let pause = pause.map(Duration::from_millis);
+            cases.push(Case {
+                answering: Answering { length, place, pause },
+                wait: Duration::from_millis(wait),
+            });
+        }
+    }
+    cases
+}
+
+/// Asks for all cases, a number of them at once, and gives how each answer came.
+fn sweep(address: &str, cases: &[Case], at_once: usize) -> Vec<(String, Case, Came)> {
+    let next = AtomicUsize::new(0);
+    let worker = || {
+        let take = || {
+            let number = next.fetch_add(1, Relaxed);
+            cases.get(number).map(|case| (number, *case))
+        };
+        let ask = |(number, case): (usize, Case)| {
+            let id = format!("r{number}x");
+            let came = ask(address, case.answering, &id, case.wait);
+            (id, case, came)
+        };
+        std::iter::from_fn(take).map(ask).collect::<Vec<_>>()
+    };
+    thread::scope(|scope| {
+        let workers: Vec<_> = (0..at_once).map(|_| scope.spawn(worker)).collect();
+        workers.into_iter().flat_map(|worker| worker.join().expect("a worker")).collect()
+    })
+}
+
+/// How an answer is to end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Expected {
+    Whole,
+    /// The connection ends once the node has been silent for long enough.
+    CutAfterSilence,
+    /// An error or a refusal in its time.
+    Line,
+    /// It may come just in time, or not.
+    WholeOrLine,
+}
+
+impl Case {
+    /// How the answer is to end if its attempt came to the node `delay` after the request.
+    fn expected(&self, delay: Duration) -> Expected {
+        let Case { answering, wait } = *self;
+        let wait = wait.saturating_sub(delay);
+        let pause = answering.pause.unwrap_or(FOR_EVER);
+        let is_silent = pause >= NODE_SILENCE;
+        let is_long = answering.length > MAX_BUFFERED;
+        let has_begun = answering.place != Place::InsideHead || pause + SLACK < wait;
+        match is_long {
+            true if answering.place == Place::BeforeFigures => Expected::Whole,
+            true if answering.place == Place::InsideHead && is_silent => Expected::Line,
+            true if is_silent => Expected::CutAfterSilence,
+            true if has_begun => Expected::Whole,
+            true if pause > wait => Expected::Line,
+            false if is_silent || answering.lasts() > wait => Expected::Line,
+            false if answering.lasts() + SLACK < wait => Expected::Whole,
+            _ => Expected::WholeOrLine,
+        }
+    }
+
+    /// What is wrong with how the answer came, whose first attempt came to the node `delay` after the request.
+    fn fault(&self, came: &Came, delay: Duration) -> Option<String> {
+        let in_time = came.first.is_some_and(|first| first < self.wait + LOST_AFTER);
+        let silence = delay + NODE_SILENCE..delay + NODE_SILENCE + SLACK;
+        let expected = self.expected(delay);
+        let holds = match (expected, &came.kind) {
+            (Expected::Whole, Kind::Whole) | (Expected::WholeOrLine, Kind::Whole) => true,
+            (Expected::Line | Expected::WholeOrLine, Kind::Line(_)) => true,
+            (Expected::CutAfterSilence, Kind::Cut) => silence.contains(&came.ended),
+            _ => false,
+        };
+        (!holds || !in_time).then(|| format!("{self:?}, expected {expected:?} after {delay:?}: {came:?}"))
+    }
+}
+
+/// Plays all cases before a broker and a node of their own, and gives what is wrong.
+fn faults(name: &str, cases: &[Case]) -> Vec<String> {
+    let (seen, node) = paused_node();
+    let site = site(name, &node);
+    let came = sweep(&site.broker.listen, cases, AT_ONCE);
+    let mut faults = Vec::new();
+    if site.broker.log().contains("rule broken") {
+        faults.push(site.broker.log());
+    }
+    let (attempts, mut unsent) = (&seen.lock().expect("what was seen").attempts, 0);
+    for (id, case, came) in &came {
+        match attempts.get(id).and_then(|attempts| attempts.first()) {
+            Some(attempt) => faults.extend(case.fault(came, attempt.saturating_duration_since(came.sent))),
+            // The node is busy with the other cases.
+            None if matches!(&came.kind, Kind::Line(line) if line.starts_with("-BUSY")) => unsent += 1,
+            None => faults.push(format!("{case:?}, never sent: {came:?}")),
+        }
+    }
+    println!("{name}: {} cases, {unsent} refused unsent", cases.len());
+    if unsent > cases.len() / 2 {
+        faults.push(format!("{unsent} of {} refused unsent", cases.len()));
+    }
+    faults
+}
+
+/// Guards against any limit that takes a pause of a node for its end.
+#[test]
+fn answers_with_pauses_end_only_by_their_nodes_silence_or_their_clients_time() {
+    let waits = [500, 3_600];
+    let (pausing, silent) = ([Some(0), Some(350), Some(800), Some(1_500)], [Some(2_500), None]);
+    let lengths = [1, 5_000, MAX_BUFFERED, MAX_BUFFERED + 1, 200_000, 4 << 20];
+    // A node that falls silent again and again is sent little: the others have nodes of their own.
+    let sweeps: Vec<_> = lengths
+        .into_iter()
+        .flat_map(|length| {
+            let silent = (format!("silent-{length}"), cases(&[length], &silent, &waits));
+            [(format!("pausing-{length}"), cases(&[length], &pausing, &waits)), silent]
+        })
+        .map(|(name, cases)| thread::spawn(move || faults(&name, &cases)))
+        .collect();
+    let found: Vec<String> = sweeps.into_iter().flat_map(|sweep| sweep.join().expect("a sweep")).collect();
+    assert!(found.is_empty(), "{} faults:\n{}", found.len(), found.join("\n"));
+}
