Play answers with pauses through drains, reloads, stops and a crowd

Change: tests. Eight reads of 1 byte to 300,000 bytes with pauses of 0.4 to 1.5 s are under way while their node is listed as draining, is gone or is taken out by a call; while their broker gets SIGHUP, LEAVE, SIGTERM or signals in series; in a crowd of 300 connections that say nothing. All come whole from their first attempt.

--- a/tests/paused_answers.rs
+++ b/tests/paused_answers.rs
@@ -2,10 +2,11 @@
 
 mod common;
 
-use common::net::connect;
+use common::net::*;
 use common::paused_node::*;
-use common::site::site;
+use common::site::{site, Site};
 use std::io::Write;
+use std::net::TcpStream;
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -202,3 +203,76 @@
     let found: Vec<String> = sweeps.into_iter().flat_map(|sweep| sweep.join().expect("a sweep")).collect();
     assert!(found.is_empty(), "{} faults:\n{}", found.len(), found.join("\n"));
 }
+
+/// Reads with pauses that are under way while something happens to their broker or their node.
+const UNDER_WAY: [Answering; 4] = [
+    Answering { length: 200_000, place: Place::AfterFirstPart, pause: Some(Duration::from_millis(900)) },
+    Answering { length: 300_000, place: Place::AfterHead, pause: Some(Duration::from_millis(1_500)) },
+    Answering { length: 5_000, place: Place::Even, pause: Some(Duration::from_millis(400)) },
+    Answering { length: 1, place: Place::AfterHead, pause: Some(Duration::from_millis(1_200)) },
+];
+
+/// Begins the reads, lets something happen 0.2 s later, and gives what did not come whole from its first attempt.
+fn under_way_while(name: &str, happens: impl FnOnce(&mut Site)) {
+    let (seen, node) = paused_node();
+    let mut site = site(name, &node);
+    let address = site.broker.listen.clone();
+    let reads: Vec<_> = (0..2 * UNDER_WAY.len())
+        .map(|number| {
+            let (answering, address) = (UNDER_WAY[number % UNDER_WAY.len()], address.clone());
+            let wait = Duration::from_millis(if answering.length > MAX_BUFFERED { 500 } else { 3_000 });
+            thread::spawn(move || (answering, ask(&address, answering, &format!("r{number}x"), wait)))
+        })
+        .collect();
+    until("all reads are out", || seen.lock().expect("what was seen").attempts.len() == reads.len());
+    thread::sleep(Duration::from_millis(200));
+    happens(&mut site);
+    for read in reads {
+        let (answering, came) = read.join().expect("a client");
+        assert_eq!(came.kind, Kind::Whole, "{name}: {answering:?} {came:?}");
+    }
+    let seen = seen.lock().expect("what was seen");
+    assert!(seen.attempts.values().all(|attempts| attempts.len() == 1), "{name}: {seen:?}");
+    assert!(!site.broker.log().contains("rule broken"), "{}", site.broker.log());
+}
+
+/// Sends an operator's call.
+fn call(site: &Site, text: &str) {
+    let mut caller = connect(&site.admin);
+    caller.write_all(format!("{text}\n").as_bytes()).expect("calls");
+    assert!(line(&mut caller).expect("an answer").starts_with("200"));
+}
+
+/// Guards against answers that end with whatever their node is told to be.
+#[test]
+fn answers_with_pauses_outlive_a_change_of_their_node() {
+    thread::scope(|scope| {
+        scope.spawn(|| under_way_while("draining", |site| site.list_node("draining")));
+        scope.spawn(|| under_way_while("gone", |site| site.drop_node()));
+        scope.spawn(|| under_way_while("offline", |site| call(site, "OFFLINE s-00000001")));
+    });
+}
+
+/// Guards against answers that end with a signal or a call to their broker, before it may be killed.
+#[test]
+fn answers_with_pauses_outlive_a_reload_a_call_and_a_stop() {
+    thread::scope(|scope| {
+        scope.spawn(|| under_way_while("reload", |site| site.broker.signal("-HUP")));
+        scope.spawn(|| under_way_while("leave", |site| call(site, "LEAVE")));
+        scope.spawn(|| under_way_while("stop", |site| site.broker.signal("-TERM")));
+        let series = |site: &mut Site| {
+            ["-HUP", "-TERM", "-INT", "-HUP"].iter().for_each(|signal| site.broker.signal(signal))
+        };
+        scope.spawn(move || under_way_while("series", series));
+    });
+}
+
+/// Guards against answers that end for the sake of connections that say nothing.
+#[test]
+fn answers_with_pauses_outlive_a_crowd() {
+    under_way_while("crowd", |site| {
+        let crowd: Vec<_> = (0..300).map(|_| TcpStream::connect(&site.broker.listen)).collect();
+        thread::sleep(Duration::from_millis(1_500));
+        drop(crowd);
+    });
+}
