Play answers in lumps in the soak and over NBD, and judge what is cut off

What a broker cuts off while its server goes on is a breach, unless a proxy ended a connection or the broker was killed.

An NBD answer that comes in three parts with pauses of 0.45 s is served by its first attempt; it passes on this code (0.3 s without a byte ended the connection before).

--- a/tests/soak_brokers.rs
+++ b/tests/soak_brokers.rs
@@ -324,6 +324,7 @@
         }
         self.world.sleep_until(told + self.grace()).await;
         self.lived.outlived += usize::from(!self.process.has_ended());
+        self.world.audit.ended(self.plan.number, self.now());
         self.process.signal("-KILL");
     }
 
@@ -474,6 +475,7 @@
         errors: 0.01,
         large: 0.03,
         pieces: 0.05,
+        lumps: 0.04,
         ..Behaviour::default()
     });
     let discovery = Discovery::start(clock).await.expect("discovery");
@@ -489,6 +491,7 @@
         let before = server.address.clone();
         addresses.push(match place % 3 {
             0 => {
+                audit.stands_behind_proxy(place);
                 proxy::start(before, faults, seed ^ place as u64, Default::default()).await.expect("a proxy")
             }
             _ => before,
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -542,3 +542,55 @@
     assert!(answers.contains("-ERR failed\r\n") && answers.contains("$5\r\nvalue\r\n"), "{answers}");
     assert!(answers.ends_with("+OK\r\n"), "{answers}");
 }
+
+/// A proxy before a node that passes its longer messages on in three parts, with this pause between.
+fn pausing_proxy(node: String, pause: Duration) -> String {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    std::thread::spawn(move || {
+        for broker in listener.incoming().flatten() {
+            let node = connect(&node);
+            let (mut from, mut to) =
+                (broker.try_clone().expect("a handle"), node.try_clone().expect("a handle"));
+            std::thread::spawn(move || std::io::copy(&mut from, &mut to));
+            std::thread::spawn(move || pass_with_pauses(node, broker, pause));
+        }
+    });
+    address
+}
+
+fn pass_with_pauses(mut from: TcpStream, mut to: TcpStream, pause: Duration) -> std::io::Result<()> {
+    // Replies of the handshake are shorter.
+    const LONG: usize = 200;
+    let mut buffer = vec![0; 64 * 1024];
+    loop {
+        let count = from.read(&mut buffer)?;
+        let parts = if count > LONG { 3 } else { 1 };
+        for part in buffer[..count].chunks(count.div_ceil(parts).max(1)) {
+            if part.as_ptr() != buffer.as_ptr() {
+                std::thread::sleep(pause);
+            }
+            to.write_all(part)?;
+        }
+        if count == 0 {
+            return Ok(());
+        }
+    }
+}
+
+/// Guards against an NBD connection that ends, and its requests with it, while a node pauses inside an answer.
+#[test]
+fn an_nbd_answer_with_pauses_is_served_by_its_first_attempt() {
+    let (_resp, resp_address) = resp_node();
+    let (script, node) = nbd_node();
+    let paused = pausing_proxy(node, Duration::from_millis(450));
+    let member = member("s-00000001", &resp_address, 0, State::Ready);
+    let (_discovery, discovery) = Discovery::start(&member);
+    let file = nbd_file(&paused, State::Ready);
+    let broker = Broker::start("nbd-pauses", SETTINGS, &discovery, Some(&file));
+    until("the file is in force", || broker.log().contains("configuration in force"));
+    let mut client = claywinch_lab::client::Client::connect(&broker.nbd, "disk", true).expect("connects");
+    let reply = client.read(0, 16 * 1024).expect("a reply");
+    assert!(matches!(reply, claywinch_lab::nbd::Reply::Done(_)), "{reply:?}");
+    assert_eq!(script.lock().unwrap().seen, 1);
+}
