Log connections that end inside an answer, and play writes read in sips

A test plays writes of 30,000 bytes to 2 MiB for a node that reads 8 KiB each 80 ms: ten at once, five behind each other on a connection, and with SIGHUP, SIGTERM and a series of signals 0.4 s after they begin.

--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -2,7 +2,7 @@
 
 use super::outbox::Outbox;
 use super::read_buffer::{ReadBuffer, Received};
-use crate::interface::{Ending, Time};
+use crate::interface::{Ending, RequestId, Time};
 use crate::state::buffer_budget::{BufferBudget, Reservation};
 use crate::state::guard::{Denied, Guard};
 use crate::state::planner::{AttemptEnd, AttemptId, AttemptTimes, Input, LinkEnd, Wire};
@@ -100,6 +100,10 @@
     fn progress(&mut self) -> Option<ReplyProgress<W::Reply>> {
         None
     }
+    /// Returns the request whose reply is being received, if the protocol can tell.
+    fn replying(&self) -> Option<RequestId> {
+        None
+    }
     /// Whether the protocol accepts another request now. Until it does, requests wait in the link's queue.
     fn can_send(&self) -> bool {
         true
@@ -339,6 +343,23 @@
             arrival: ReplyArrival::default(),
             state: ReplyState::Complete,
         };
+        let reason = self.exchange_messages(&stream, &mut partial).await?;
+        if partial.state != ReplyState::Complete {
+            self.log_broken_reply(&partial, &reason);
+        }
+        Some(reason)
+    }
+
+    /// Logs that the connection has ended inside a reply.
+    fn log_broken_reply(&self, partial: &PartialReply, reason: &str) {
+        let arrived = partial.arrival.arrived();
+        let silent_us = self.loop_clock.now() - arrived.last;
+        let (link, id, bytes) = (self.id, self.exchange.replying(), arrived.bytes);
+        tracing::warn!(id, link, self.address, bytes, silent_us, reason, "connection ended inside an answer");
+    }
+
+    /// Reads and writes as [`LinkTask::serve_connection`] does.
+    async fn exchange_messages(&mut self, stream: &TcpStream, partial: &mut PartialReply) -> Option<String> {
         // Whether the other tasks have run since the socket became writable, so that an attempt may begin.
         let mut caught_up = false;
         let mut yields = false;
@@ -361,7 +382,7 @@
                     if let Err(e) = ready {
                         return Some(e.to_string());
                     }
-                    match partial.bytes.read(&stream) {
+                    match partial.bytes.read(stream) {
                         Ok(Received { bytes: 0, .. }) => return Some("closed by the node".to_string()),
                         Ok(Received { bytes, drained }) => {
                             partial.arrival.received(self.loop_clock.now(), bytes);
@@ -374,12 +395,12 @@
                         Err(e) if is_transient(&e) => continue,
                         Err(e) => return Some(e.to_string()),
                     }
-                    if let Err(reason) = self.receive(&mut partial) {
+                    if let Err(reason) = self.receive(partial) {
                         return Some(reason);
                     }
                 }
                 () = wait_for(wakeup) => {
-                    if let Err(reason) = self.receive(&mut partial) {
+                    if let Err(reason) = self.receive(partial) {
                         return Some(reason);
                     }
                 }
@@ -400,7 +421,7 @@
                         continue;
                     }
                     caught_up = false;
-                    if self.can_begin() && self.exchange.is_idle() && unread(&stream) != Unread::Nothing {
+                    if self.can_begin() && self.exchange.is_idle() && unread(stream) != Unread::Nothing {
                         // Unread bytes are a second reply to an earlier request or the node's close. They are read
                         // before another request begins, since they would be taken for its reply.
                         tokio::task::yield_now().await;
--- a/src/wire/resp/client.rs
+++ b/src/wire/resp/client.rs
@@ -1,7 +1,7 @@
 //! The client side of RESP2: the protocol state of one connection to a node.
 
 use super::*;
-use crate::interface::Ending;
+use crate::interface::{Ending, RequestId};
 use crate::state::buffer_budget::BufferBudget;
 use crate::state::pipe::{pipe, PipeWriter, Progress};
 use crate::state::planner::{AttemptEnd, AttemptId};
@@ -32,6 +32,7 @@
 /// A long reply that is being received.
 #[derive(Debug)]
 struct StreamedReply {
+    tag: AttemptId,
     /// Receives the value. `None` once all of it has arrived and only the items behind it are missing.
     writer: Option<PipeWriter>,
     /// Bytes of the value still to be received.
@@ -118,6 +119,11 @@
         self.pending.push_back((tag, start, end));
     }
 
+    fn replying(&self) -> Option<RequestId> {
+        let first = self.pending.front().map(|(tag, ..)| tag);
+        self.streamed.as_ref().map(|reply| &reply.tag).or(first).map(|(id, _)| *id)
+    }
+
     fn can_send(&self) -> bool {
         self.sending.is_none()
     }
@@ -144,7 +150,7 @@
                     return Err(ProtocolError("reply received before the request was sent completely"));
                 }
                 let (writer, reader) = pipe(&self.budget, MAX_VALUE);
-                self.streamed = Some(StreamedReply { writer: Some(writer), left, items: items - 1 });
+                self.streamed = Some(StreamedReply { tag, writer: Some(writer), left, items: items - 1 });
                 let reply = Some(Reply::Streamed(reader, left));
                 self.flow = Some(ReplyProgress::Begun(
                     tag,
--- a/tests/long_values.rs
+++ b/tests/long_values.rs
@@ -269,3 +269,61 @@
     client.write_all(&put(2, 1 << 20)).expect("writes");
     assert_eq!(line(&mut client).expect("an answer"), "$5");
 }
+
+/// Bytes of the writes that a node reads in sips.
+const SIPPED: [usize; 5] = [30_000, 65_536, 65_537, 200_000, 2 << 20];
+
+/// Writes behind each other on one connection, and how long after its last byte or the answer ahead of it each answer came.
+fn write_in_a_row(address: &str, first: usize) -> Vec<Duration> {
+    let mut client = connect(address);
+    let mut reader = client.try_clone().expect("a second handle");
+    let answers = thread::spawn(move || {
+        SIPPED.map(|_| {
+            line(&mut reader).expect("an answer");
+            Instant::now()
+        })
+    });
+    let written = SIPPED.iter().zip(first..).map(|(length, id)| {
+        client.write_all(&put(id, *length)).expect("the broker takes all of it");
+        Instant::now()
+    });
+    let written: Vec<Instant> = written.collect();
+    let came = answers.join().expect("all answers");
+    let turns = [written[0]].into_iter().chain(came);
+    let from = written.iter().zip(turns).map(|(written, turn)| (*written).max(turn));
+    from.zip(came).map(|(from, came)| came.saturating_duration_since(from)).collect()
+}
+
+/// Guards against an answer seconds after its time where the node reads a large request slowly: many at once, several on a
+/// connection, and while the broker is told something.
+#[test]
+fn writes_that_a_node_reads_in_sips_are_answered_in_time() {
+    let forms: [(&str, &[&str]); 4] = [
+        ("sips", &[]),
+        ("sips-reload", &["-HUP"]),
+        ("sips-stop", &["-TERM"]),
+        ("sips-series", &["-HUP", "-TERM", "-INT"]),
+    ];
+    for (name, signals) in forms {
+        let site = site(name, &slow_reading_node(Some(Duration::from_millis(80))));
+        let mut writers: Vec<_> = SIPPED
+            .into_iter()
+            .chain(SIPPED)
+            .zip(1..)
+            .map(|(length, id)| {
+                let address = site.broker.listen.clone();
+                thread::spawn(move || vec![ask_at_once(&address, &put(id, length)).1])
+            })
+            .collect();
+        if signals.is_empty() {
+            let address = site.broker.listen.clone();
+            writers.push(thread::spawn(move || write_in_a_row(&address, 100)));
+        }
+        thread::sleep(Duration::from_millis(400));
+        signals.iter().for_each(|signal| site.broker.signal(signal));
+        let all: Vec<Duration> = writers.into_iter().flat_map(|w| w.join().expect("a writer")).collect();
+        println!("{name}: worst {:?}", all.iter().max());
+        assert!(all.iter().all(|after| *after < WAIT + LOST_AFTER), "{name}: {all:?}");
+        assert!(!site.broker.log().contains("rule broken"), "{}", site.broker.log());
+    }
+}
