--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -171,7 +171,7 @@
 #[test]
 fn a_reply_that_stops_short_is_a_reset_after_its_nodes_silence() {
     let mut b = Bench::new(4);
-    let input = b.request(Ask { due: b.now + 4_000_000, ..ask(1) });
+    let input = b.request(Ask { due: b.now + 10_000_000, ..ask(1) });
     b.turn(0, vec![input]);
     let arrival = ReplyArrival::default();
     b.now += 50_000;
@@ -186,7 +186,7 @@
     arrival.received(b.now, 10);
     let whole = vec![Input::LinkUp(1), Input::PartialReply(1, Some(arrival)), Input::PartialReply(1, None)];
     b.turn(1_000, whole);
-    assert!(closed(&b.turn(200_000, vec![])).is_empty(), "nothing is left of a reply on it");
+    assert!(closed(&b.turn(2 * NODE_SILENCE, vec![])).is_empty(), "nothing is left of a reply on it");
     assert_eq!(b.planner.take_counts().endings[Ending::Reset as usize], 1);
 }
 
